--- a/examples/slopes.rs
+++ b/examples/slopes.rs
@@ -19,7 +19,8 @@
 use marjoramdyke::{
     board::{Board, render},
     config::{
-        Access, Document, Index, Key, Organisation, Route, Service, digest_key, pack, unpack,
+        Access, Document, Index, Key, Organisation, Repeat, Route, Service, digest_key, pack,
+        unpack,
     },
     fleet::{
         Membership, Secret,
@@ -35,7 +36,7 @@
         roster::quorum,
     },
 };
-use rand::{Rng, SeedableRng, rngs::StdRng};
+use rand::{Rng, SeedableRng, rng, rngs::StdRng};
 
 const SIZES: [usize; 4] = [24, 190, 380, 760];
 const TARGETS_PER_NODE: usize = 12;
@@ -263,8 +264,10 @@
             floor: 0.5,
             timeout_ms: 10_000,
             retry_share: 0.1,
+            retry_slack: 0,
             connections: 300,
             queue: 64,
+            cold_rate: 0.0,
         };
         document.services.insert(name, service);
     }
@@ -275,6 +278,12 @@
             service: format!("service-{}", i % SERVICES),
             access: Access::Keyed,
             idempotent: Vec::new(),
+            split: Vec::new(),
+            repeat: Repeat::Method,
+            timeout_ms: 0,
+            objective_ms: 0,
+            attempts: 0,
+            priority: 0,
         });
     }
     for i in 0..organisations {
@@ -289,6 +298,7 @@
             rate: 10.0,
             burst: 20,
             weight: 1,
+            priority: 0,
             keys: vec![key],
             withdrawn: Vec::new(),
         };
@@ -323,7 +333,9 @@
         let index = Index::new(1, Arc::clone(&document));
         let (key, host) = ("organisation-5", "host-3.example");
         let found = timed(10_000, || index.key(key).is_some());
-        let routed = timed(10_000, || index.route(host, "/part-3/things/a/b").is_some());
+        let routed = timed(10_000, || index
+                .route(host, "/part-3/things/a/b", &mut rng())
+                .is_some());
         drop((changed, after));
         println!(
             "organisations {organisations:>5}, routes {routes:>4}: whole {} KB, delta {} KB, \
--- a/src/bin/marjoramdyke-node.rs
+++ b/src/bin/marjoramdyke-node.rs
@@ -13,6 +13,7 @@
     let args = NodeArgs::parse();
     let settings = settings::load(&args)?;
     logs::start(&args.log_level)?;
-    runtime::block_on(node::run(settings))?;
+    let deployment = node::Deployment::own(&settings);
+    runtime::block_on(node::run(settings, deployment, async |_| Ok(())))?;
     Ok(Exit::Success)
 }
--- a/src/board/mod.rs
+++ b/src/board/mod.rs
@@ -137,6 +137,16 @@
         }
     }
 
+    /// Takes over which data centres are drained, where the configuration does not say it.
+    pub fn drain(&mut self, drained: &[String]) {
+        for name in drained {
+            self.centre(name);
+        }
+        for centre in self.centres.values_mut() {
+            centre.drained = drained.iter().any(|name| **name == *centre.name);
+        }
+    }
+
     /// Takes over what a node says of itself.
     pub fn place(&mut self, record: &Record) {
         let centre = self.centre(&record.data_centre);
--- a/src/board/view.rs
+++ b/src/board/view.rs
@@ -88,6 +88,10 @@
     pub keepers: HashMap<u32, KeeperView>,
     /// Other nodes that are alive.
     pub others: Vec<VmView>,
+    /// Nodes of this data centre that are alive and stay, this one among them.
+    pub near: Vec<VmView>,
+    /// Nodes of the whole fleet that are known, alive or not.
+    pub nodes: u32,
     /// Whether this node's data centre is drained.
     pub drained: bool,
 }
@@ -123,6 +127,8 @@
         services,
         keepers: keepers(board, own),
         others: others(board, own),
+        near: near(board, own),
+        nodes: u32::try_from(board.vms.len()).unwrap_or(u32::MAX),
         drained: centre.is_some_and(|c| board.centres[c].drained),
     }
 }
@@ -142,6 +148,12 @@
     alive.map(vm_view).collect()
 }
 
+fn near(board: &Board, own: &str) -> Vec<VmView> {
+    let centre = board.vm(own).map(|vm| vm.centre);
+    let stays = |vm: &&Vm| vm.alive && !vm.leaving && Some(vm.centre) == centre;
+    board.vms.values().filter(stays).map(vm_view).collect()
+}
+
 fn keepers(board: &Board, own: &str) -> HashMap<u32, KeeperView> {
     let centre = board.vm(own).map(|vm| vm.centre);
     let mut out = HashMap::new();
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -7,7 +7,7 @@
 ///
 /// It takes callers, guards the targets of its VM, and gossips with the other nodes. Flags go before
 /// the settings file.
-#[derive(Debug, Parser)]
+#[derive(Debug, Default, Parser)]
 #[command(name = "marjoramdyke-node", version)]
 pub struct NodeArgs {
     /// Read settings from this file: JSON with comments.
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -5,6 +5,8 @@
     time::{Duration, Instant, SystemTime},
 };
 
+use rustix::time::{ClockId, clock_gettime};
+
 /// A source of time. Decisions take [`Instant`]s; only the I/O layer asks a clock.
 pub trait Clock: Send + Sync {
     /// Returns the monotonic time.
@@ -25,13 +27,44 @@
 /// A clock that many tasks hold.
 pub type SharedClock = Arc<dyn Clock>;
 
-/// The machine's own clock.
-#[derive(Debug, Default, Clone, Copy)]
-pub struct SystemClock;
+/// The machine's own clock, which goes on while the machine is suspended.
+///
+/// [`Instant::now`] stands still then, so that a lease or a word that was fresh would look as if it
+/// had not aged. Timers of the runtime stand still too: what waits until an instant waits for the
+/// time that is left until then by this clock.
+#[derive(Debug, Clone, Copy)]
+pub struct SystemClock {
+    origin: Instant,
+    booted: Duration,
+}
+
+impl SystemClock {
+    /// Starts the clock.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            origin: Instant::now(),
+            booted: since_boot(),
+        }
+    }
+}
+
+impl Default for SystemClock {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+fn since_boot() -> Duration {
+    let time = clock_gettime(ClockId::Boottime);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
+    let nanos = u32::try_from(time.tv_nsec).unwrap_or_default();
+    Duration::new(seconds, nanos)
+}
 
 impl Clock for SystemClock {
     fn now(&self) -> Instant {
-        Instant::now()
+        self.origin + since_boot().saturating_sub(self.booted)
     }
 
     fn wall(&self) -> SystemTime {
--- a/src/config/chunk.rs
+++ b/src/config/chunk.rs
@@ -216,11 +216,12 @@
 
 impl Serialize for Organisation {
     fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
-        let mut tuple = serializer.serialize_tuple(6)?;
+        let mut tuple = serializer.serialize_tuple(7)?;
         tuple.serialize_element(&self.name)?;
         tuple.serialize_element(&self.rate)?;
         tuple.serialize_element(&self.burst)?;
         tuple.serialize_element(&self.weight)?;
+        tuple.serialize_element(&self.priority)?;
         tuple.serialize_element(&self.keys)?;
         tuple.serialize_element(&self.withdrawn)?;
         tuple.end()
@@ -229,7 +230,7 @@
 
 impl<'de> Deserialize<'de> for Organisation {
     fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
-        deserializer.deserialize_tuple(6, OrganisationVisitor)
+        deserializer.deserialize_tuple(7, OrganisationVisitor)
     }
 }
 
@@ -239,7 +240,7 @@
     type Value = Organisation;
 
     fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("a list of name, rate, burst, weight, keys and withdrawn keys")
+        f.write_str("a list of name, rate, burst, weight, priority, keys and withdrawn keys")
     }
 
     fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<Organisation, A::Error> {
@@ -249,6 +250,7 @@
             rate: seq.next_element()?.ok_or_else(missing)?,
             burst: seq.next_element()?.ok_or_else(missing)?,
             weight: seq.next_element()?.ok_or_else(missing)?,
+            priority: seq.next_element()?.ok_or_else(missing)?,
             keys: seq.next_element()?.ok_or_else(missing)?,
             withdrawn: seq.next_element()?.ok_or_else(missing)?,
         })
--- a/src/config/document.rs
+++ b/src/config/document.rs
@@ -14,6 +14,19 @@
         /// Callers with the key of an organisation, within its rate.
         Keyed,
     }
+
+    /// What decides whether a route's requests may run more than once.
+    #[derive(Default, serde::Serialize, serde::Deserialize)]
+    #[serde(rename_all = "lowercase")]
+    pub enum Repeat {
+        /// The method.
+        #[default]
+        Method,
+        /// All of them may.
+        Always,
+        /// None of them may.
+        Never,
+    }
 }
 
 section! {
@@ -35,10 +48,25 @@
         pub timeout_ms: u32,
         /// Share of extra attempts that retries may add to the traffic, 0 to 1.
         pub retry_share: f64,
+        /// Extra attempts that may be saved up beyond that share, over the whole fleet; 0 when each
+        /// node decides.
+        #[serde(default)]
+        pub retry_slack: u32,
         /// Connections that one target accepts.
         pub connections: u32,
         /// Requests that may wait at one target for a slot.
         pub queue: u32,
+        /// Requests a second that a target bears in a cold start; 0 when no such bound is known.
+        #[serde(default)]
+        pub cold_rate: f64,
+    }
+
+    /// The part of a route's requests that goes to one service.
+    pub struct Portion {
+        /// The service.
+        pub service: String,
+        /// Its share, relative to the other portions.
+        pub weight: u32,
     }
 
     /// A route from a host and path prefix to a service.
@@ -47,12 +75,30 @@
         pub host: String,
         /// The path prefix, whole segments.
         pub prefix: String,
-        /// The service.
+        /// The service; the first of `split` where there is one.
         pub service: String,
+        /// Portions, where requests are spread over several services; else empty.
+        #[serde(default)]
+        pub split: Vec<Portion>,
         /// Who may use it.
         pub access: Access,
         /// Methods that are idempotent here beyond the standard ones.
         pub idempotent: Vec<String>,
+        /// Whether requests may run more than once, whatever their method.
+        #[serde(default)]
+        pub repeat: Repeat,
+        /// Longest time to the head of an answer, in milliseconds; 0 for the service's.
+        #[serde(default)]
+        pub timeout_ms: u32,
+        /// Time within which an answer is worth most, in milliseconds; 0 when none is stated.
+        #[serde(default)]
+        pub objective_ms: u32,
+        /// Targets that one request may be sent to, at most; 0 for the default.
+        #[serde(default)]
+        pub attempts: u32,
+        /// Rank in queues; 0 goes first.
+        #[serde(default)]
+        pub priority: u32,
     }
 
     /// A VM that keeps no rates any more, because its incarnation is taken to be dead.
@@ -75,6 +121,8 @@
         pub burst: u32,
         /// Share in fair queues, relative to the others.
         pub weight: u32,
+        /// Rank in queues, which goes before the route's; 0 goes first.
+        pub priority: u32,
         /// Its keys.
         pub keys: Vec<Key>,
         /// Ids of keys that were withdrawn; a file that lists one again is refused.
--- a/src/config/file.rs
+++ b/src/config/file.rs
@@ -7,7 +7,9 @@
 use http::Method;
 
 use crate::{
-    config::{Access, DataCentre, Digest, Document, Key, Organisation, Route, Service},
+    config::{
+        Access, DataCentre, Digest, Document, Key, Organisation, Portion, Repeat, Route, Service,
+    },
     error::Error,
     jsonc::{Fields, Placed, Source},
 };
@@ -18,6 +20,7 @@
 const DEFAULT_RETRY_SHARE: f64 = 0.1;
 const DEFAULT_CONNECTIONS: u32 = 300;
 const DEFAULT_QUEUE: u32 = 64;
+const MOST_ATTEMPTS: u32 = 16;
 const MOST: u32 = 1_000_000;
 
 /// What a file declares.
@@ -155,8 +158,10 @@
         floor: fields.number("floor", 0.0..=1.0, DEFAULT_FLOOR),
         timeout_ms: fields.whole("timeout_ms", 1..=LONGEST_TIMEOUT_MS, DEFAULT_TIMEOUT_MS),
         retry_share: fields.number("retry_share", 0.0..=1.0, DEFAULT_RETRY_SHARE),
+        retry_slack: fields.whole("retry_slack", 0..=MOST, 0),
         connections: fields.whole("connections", 1..=MOST, DEFAULT_CONNECTIONS),
         queue: fields.whole("queue", 0..=MOST, DEFAULT_QUEUE),
+        cold_rate: fields.number("cold_rate", 0.0..=f64::from(MOST), 0.0),
     }
 }
 
@@ -166,6 +171,7 @@
         rate: fields.number("rate", 0.001..=f64::from(MOST), 1.0),
         burst: fields.whole("burst", 1..=MOST, 1),
         weight: fields.whole("weight", 1..=1_000, 1),
+        priority: fields.whole("priority", 0..=MOST, 0),
         keys: Vec::new(),
         withdrawn: Vec::new(),
     }
@@ -202,16 +208,16 @@
         .text("host")
         .map_or_else(|| "*".to_owned(), |h| h.value.to_ascii_lowercase());
     let prefix = fields.required("prefix");
-    let service = fields.required("service");
+    let split = split(source, fields.objects("split"), services);
+    let service = service_of(source, fields, &split, services);
     let access = access(source, fields.text("access"));
     let idempotent = methods(source, fields.texts("idempotent"));
+    let repeat = repeat(source, fields.text("repeat"));
+    let timeout_ms = fields.whole("timeout_ms", 0..=LONGEST_TIMEOUT_MS, 0);
+    let objective_ms = fields.whole("objective_ms", 0..=LONGEST_TIMEOUT_MS, 0);
+    let attempts = fields.whole("attempts", 0..=MOST_ATTEMPTS, 0);
+    let priority = fields.whole("priority", 0..=MOST, 0);
     let (prefix, service) = (prefix?, service?);
-    if !services.contains_key(&service.value) {
-        source.add(
-            service.at,
-            format!("service \"{}\" is not declared", service.value),
-        );
-    }
     if !plain_prefix(&prefix.value) {
         source.add(
             prefix.at,
@@ -222,12 +228,85 @@
     Some(Route {
         host,
         prefix: prefix.value,
-        service: service.value,
+        service,
+        split,
         access,
         idempotent,
+        repeat,
+        timeout_ms,
+        objective_ms,
+        attempts,
+        priority,
     })
 }
 
+/// Reads a route's one service, or takes the first of its portions.
+fn service_of(
+    source: &Source<'_>,
+    fields: &mut Fields<'_>,
+    split: &[Portion],
+    services: &BTreeMap<String, Service>,
+) -> Option<String> {
+    if let Some(first) = split.first() {
+        if fields.has("service") {
+            fields.fault("\"service\" and \"split\" exclude each other".into());
+            fields.text("service");
+        }
+        return Some(first.service.clone());
+    }
+    let service = fields.required("service")?;
+    declared(source, &service, services);
+    Some(service.value)
+}
+
+fn declared(
+    source: &Source<'_>,
+    service: &Placed<String>,
+    services: &BTreeMap<String, Service>,
+) {
+    if !services.contains_key(&service.value) {
+        source.add(
+            service.at,
+            format!("service \"{}\" is not declared", service.value),
+        );
+    }
+}
+
+fn split(
+    source: &Source<'_>,
+    list: Vec<Fields<'_>>,
+    services: &BTreeMap<String, Service>,
+) -> Vec<Portion> {
+    let mut out = Vec::new();
+    for mut fields in list {
+        let service = fields.required("service");
+        let weight = fields.whole("weight", 0..=MOST, 1);
+        fields.finish();
+        if let Some(service) = service {
+            declared(source, &service, services);
+            out.push(Portion {
+                service: service.value,
+                weight,
+            });
+        }
+    }
+    out
+}
+
+fn repeat(source: &Source<'_>, text: Option<Placed<String>>) -> Repeat {
+    match text {
+        None => Repeat::Method,
+        Some(t) if t.value == "method" => Repeat::Method,
+        Some(t) if t.value == "always" => Repeat::Always,
+        Some(t) if t.value == "never" => Repeat::Never,
+        Some(t) => {
+            let message = "\"repeat\" must be \"method\", \"always\" or \"never\"";
+            source.add(t.at, message.into());
+            Repeat::Method
+        }
+    }
+}
+
 fn plain_prefix(prefix: &str) -> bool {
     prefix.starts_with('/') && !prefix.contains(['{', '}', '?', '#'])
 }
--- a/src/config/index.rs
+++ b/src/config/index.rs
@@ -1,31 +1,86 @@
 //! A generation in the form the request path looks things up in.
 
-use std::{collections::HashMap, sync::Arc};
+use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use http::Method;
 use matchit::Router;
+use rand::Rng;
 
-use crate::config::{Access, Document, Organisation, Route, Service, digest_key, same_digest};
+use crate::config::{
+    Access, Document, Organisation, Repeat, Route, Service, digest_key, same_digest,
+};
 
 const ANY_HOST: &str = "*";
 const REST: &str = "{*rest}";
 
+/// What the request path needs to know of a route.
+pub struct Rule {
+    /// Services and their weights.
+    portions: Vec<(Arc<Service>, u32)>,
+    /// Who may use the route.
+    access: Access,
+    /// Methods that are idempotent beyond the standard ones.
+    idempotent: Vec<Method>,
+    repeat: Repeat,
+    timeout: Duration,
+    objective: Duration,
+    attempts: u32,
+    priority: u32,
+}
+
 /// What a request matched.
 #[derive(Clone)]
 pub struct Matched {
-    /// The service.
+    /// The service that this request goes to.
     pub service: Arc<Service>,
-    /// Who may use the route.
-    pub access: Access,
-    /// Methods that are idempotent beyond the standard ones.
-    idempotent: Arc<[Method]>,
+    rule: Arc<Rule>,
 }
 
 impl Matched {
+    /// Returns who may use the route.
+    #[must_use]
+    pub fn access(&self) -> Access {
+        self.rule.access
+    }
+
     /// Tells whether a method may run more than once here.
     #[must_use]
     pub fn idempotent(&self, method: &Method) -> bool {
-        method.is_idempotent() || self.idempotent.contains(method)
+        match self.rule.repeat {
+            Repeat::Always => true,
+            Repeat::Never => false,
+            Repeat::Method => method.is_idempotent() || self.rule.idempotent.contains(method),
+        }
+    }
+
+    /// Returns the longest time to the head of an answer.
+    #[must_use]
+    pub fn timeout(&self) -> Duration {
+        match self.rule.timeout.is_zero() {
+            true => self.service.timeout(),
+            false => self.rule.timeout,
+        }
+    }
+
+    /// Returns the time within which an answer is worth most; the timeout where none is stated.
+    #[must_use]
+    pub fn objective(&self) -> Duration {
+        match self.rule.objective.is_zero() {
+            true => self.timeout(),
+            false => self.rule.objective,
+        }
+    }
+
+    /// Returns how many targets a request may be sent to, if the route bounds that.
+    #[must_use]
+    pub fn attempts(&self) -> Option<u32> {
+        (self.rule.attempts > 0).then_some(self.rule.attempts)
+    }
+
+    /// Returns the rank in queues; 0 goes first.
+    #[must_use]
+    pub fn priority(&self) -> u32 {
+        self.rule.priority
     }
 }
 
@@ -35,7 +90,7 @@
     pub generation: u64,
     /// What it was made from.
     pub document: Arc<Document>,
-    hosts: HashMap<String, Router<Matched>>,
+    hosts: HashMap<String, Router<Arc<Rule>>>,
     keys: HashMap<[u8; 32], (Arc<Organisation>, usize)>,
     organisations: HashMap<String, Arc<Organisation>>,
     services: HashMap<String, Arc<Service>>,
@@ -72,13 +127,20 @@
     }
 
     /// Finds the route of a request; a route with the host goes before one for every host.
+    ///
+    /// Where a route is split, each call draws one of its services by weight.
     #[must_use]
-    pub fn route(&self, host: &str, path: &str) -> Option<&Matched> {
+    pub fn route(&self, host: &str, path: &str, rng: &mut impl Rng) -> Option<Matched> {
         let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
         let own = self.hosts.get(&host.to_ascii_lowercase());
-        own.and_then(|r| r.at(path).ok())
-            .or_else(|| self.hosts.get(ANY_HOST)?.at(path).ok())
-            .map(|m| m.value)
+        let rule = own
+            .and_then(|r| r.at(path).ok())
+            .or_else(|| self.hosts.get(ANY_HOST)?.at(path).ok())?
+            .value;
+        Some(Matched {
+            service: Arc::clone(draw(&rule.portions, rng)?),
+            rule: Arc::clone(rule),
+        })
     }
 
     /// Finds the organisation and key id that a caller's key belongs to.
@@ -111,41 +173,80 @@
     }
 }
 
+/// Draws a service by weight.
+fn draw<'s>(
+    portions: &'s [(Arc<Service>, u32)],
+    rng: &mut impl Rng,
+) -> Option<&'s Arc<Service>> {
+    let total: u32 = portions.iter().map(|(_, weight)| weight).sum();
+    if portions.len() <= 1 || total == 0 {
+        return portions.first().map(|(service, _)| service);
+    }
+    let mut left = rng.random_range(0..total);
+    for (service, weight) in portions {
+        match left.checked_sub(*weight) {
+            Some(rest) => left = rest,
+            None => return Some(service),
+        }
+    }
+    None
+}
+
 fn hosts(
     routes: &[Route],
     services: &HashMap<String, Arc<Service>>,
-) -> HashMap<String, Router<Matched>> {
-    let mut hosts: HashMap<String, Router<Matched>> = HashMap::new();
+) -> HashMap<String, Router<Arc<Rule>>> {
+    let mut hosts: HashMap<String, Router<Arc<Rule>>> = HashMap::new();
     for route in routes {
-        let Some(service) = services.get(&route.service) else {
+        let portions = portions(route, services);
+        if portions.is_empty() {
             continue;
-        };
-        let matched = Matched {
-            service: Arc::clone(service),
+        }
+        let rule = Rule {
+            portions,
             access: route.access,
             idempotent: route
                 .idempotent
                 .iter()
                 .filter_map(|m| Method::from_bytes(m.as_bytes()).ok())
                 .collect(),
+            repeat: route.repeat,
+            timeout: Duration::from_millis(u64::from(route.timeout_ms)),
+            objective: Duration::from_millis(u64::from(route.objective_ms)),
+            attempts: route.attempts,
+            priority: route.priority,
         };
-        insert(
-            hosts.entry(route.host.clone()).or_default(),
-            &route.prefix,
-            &matched,
-        );
+        let router = hosts.entry(route.host.to_ascii_lowercase()).or_default();
+        insert(router, &route.prefix, &Arc::new(rule));
     }
     hosts
 }
 
-/// Inserts a prefix; the checks of the file make sure that nothing clashes.
-fn insert(router: &mut Router<Matched>, prefix: &str, matched: &Matched) {
+fn portions(route: &Route, services: &HashMap<String, Arc<Service>>) -> Vec<(Arc<Service>, u32)> {
+    let one = [(&route.service, 1)];
+    let split = route.split.iter().map(|p| (&p.service, p.weight));
+    let listed: Vec<(&String, u32)> = match route.split.is_empty() {
+        true => one.to_vec(),
+        false => split.collect(),
+    };
+    let known = listed.into_iter().filter_map(|(name, weight)| {
+        let service = services.get(name)?;
+        Some((Arc::clone(service), weight))
+    });
+    known.collect()
+}
+
+/// Inserts a prefix, which matches itself where it does not end with a slash, and all below it.
+fn insert(router: &mut Router<Arc<Rule>>, prefix: &str, rule: &Arc<Rule>) {
     let stem = prefix.trim_end_matches('/');
-    if stem.is_empty() {
-        let _ = router.insert("/", matched.clone());
-    } else {
-        let _ = router.insert(stem, matched.clone());
-        let _ = router.insert(format!("{stem}/"), matched.clone());
+    let mut patterns = vec![format!("{stem}/"), format!("{stem}/{REST}")];
+    if stem.len() == prefix.len() {
+        patterns.push(stem.to_owned());
+    }
+    for pattern in patterns.into_iter().filter(|p| !p.is_empty()) {
+        if let Err(error) = router.insert(&pattern, Arc::clone(rule)) {
+            // Checks refuse such a route before it gets here; the others still hold.
+            spdlog::error!("route left out", kv: { pattern, error = error.to_string() });
+        }
     }
-    let _ = router.insert(format!("{stem}/{REST}"), matched.clone());
 }
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -10,7 +10,8 @@
 pub use self::{
     chunk::{ChunkError, Digest, Manifest, Packed, digest_of, pack, unpack},
     document::{
-        Access, DataCentre, Document, Fence, Key, Organisation, Route, Service, partition_of,
+        Access, DataCentre, Document, Fence, Key, Organisation, Portion, Repeat, Route, Service,
+        partition_of,
     },
     file::{Declared, check},
     head::{Change, HEAD_ROW, Head, Outcome, change, find_operation, read_document, read_head},
--- a/src/fleet/gossip.rs
+++ b/src/fleet/gossip.rs
@@ -28,7 +28,7 @@
 const ANNOUNCE_FOR: Duration = Duration::from_secs(3);
 
 /// VMs outside the roster whose ages go into one answer.
-const MOST_EXTRAS: usize = 8;
+const MOST_EXTRAS: usize = 40;
 
 /// Ages of VMs outside the roster above this are not passed on.
 const OLDEST_EXTRA: Duration = Duration::from_secs(4);
@@ -69,6 +69,7 @@
                 from: own.vm.clone(),
                 digests: members.digests().to_vec(),
                 sender: new.then(|| own.clone()),
+                generation: own.generation,
             })),
         }
     }
@@ -150,6 +151,8 @@
         holders: fresh.holders(),
         differing: members.count_differing(&pull.digests),
         records: members.differing(&pull.digests, RECORD_ROOM),
+        drains_at: 0,
+        drained: Vec::new(),
     };
     Packet {
         body: Some(packet::Body::News(news)),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod config;
 pub mod error;
 pub mod exit_codes;
+pub mod feed;
 pub mod fleet;
 pub mod jsonc;
 pub mod logs;
--- a/src/node/configure.rs
+++ b/src/node/configure.rs
@@ -112,7 +112,8 @@
     Some(())
 }
 
-fn take_up(core: &Core, index: &Arc<Index>, manifest: Digest, now: Instant) {
+/// Takes a generation up, unless it is older than the one that is held.
+pub(super) fn take_up(core: &Core, index: &Arc<Index>, manifest: Digest, now: Instant) {
     let mut shared = core.shared();
     if index.generation <= shared.fresh.generation() {
         return;
@@ -120,7 +121,13 @@
     let document = Arc::clone(&index.document);
     shared.index = Arc::clone(index);
     shared.manifest = Some(manifest);
-    shared.board.configure(&document);
+    match core.feed.is_some() {
+        true => {
+            let drained = shared.drained.clone();
+            shared.board.drain(&drained);
+        }
+        false => shared.board.configure(&document),
+    }
     shared.fresh.adopt(index.generation, &document.roster, now);
     // The view goes before the freshness that the new generation brings can be used.
     core.render(&mut shared);
@@ -128,6 +135,15 @@
 
 /// Fetches a chunk from peers, or else from the object store, and checks its digest.
 async fn fetch(core: &Core, digest: Digest) -> Option<Bytes> {
+    if let Some(content) = fetch_from_peers(core, digest).await {
+        return Some(content);
+    }
+    let content = core.platform.get(&digest.to_string()).await.ok()??;
+    (digest_of(&content) == digest).then_some(content)
+}
+
+/// Fetches a chunk from peers, those of the own data centre first, and checks its digest.
+pub(super) async fn fetch_from_peers(core: &Core, digest: Digest) -> Option<Bytes> {
     let mut peers: Vec<Arc<str>> = {
         let view = core.view.load();
         view.others
@@ -136,13 +152,14 @@
             .collect()
     };
     peers.shuffle(&mut rng());
+    let near = core.view.load().near.clone();
+    peers.sort_by_key(|peer| !near.iter().any(|vm| vm.address == *peer));
     for peer in peers.iter().take(FETCH_PEERS) {
         if let Some(content) = fetch_from(core, peer, digest).await {
             return Some(content);
         }
     }
-    let content = core.platform.get(&digest.to_string()).await.ok()??;
-    (digest_of(&content) == digest).then_some(content)
+    None
 }
 
 async fn fetch_from(core: &Core, peer: &str, digest: Digest) -> Option<Bytes> {
--- a/src/node/gossip.rs
+++ b/src/node/gossip.rs
@@ -13,12 +13,14 @@
 };
 
 use crate::{
+    board::Vm,
     config::Digest,
+    feed::Reading,
     fleet::{
         codec::{MembersRequest, News, Packet, Pull, Record, packet},
         gossip::{answer, decode, encode},
     },
-    node::Core,
+    node::{Core, Shared},
 };
 
 /// How often a node pulls.
@@ -33,18 +35,113 @@
 
 const LARGEST_DATAGRAM: usize = 65_535;
 
+/// How often the delegate of a data centre pulls from those of the other ones.
+pub const FAR_EVERY: Duration = Duration::from_millis(1_000);
+
 /// Pulls from others until the node ends.
 pub async fn pull(core: Arc<Core>, socket: Arc<UdpSocket>) {
+    let mut far_at = core.clock.now();
     loop {
         let jitter = rng().random_range(0.8..1.2);
-        sleep(PULL_EVERY.mul_f64(jitter)).await;
-        let Some(peer) = choose(&core) else { continue };
-        let datagram = write_pull(&core);
-        // A datagram that cannot be sent is a lost one; the next pull goes elsewhere.
-        let _ = socket.send_to(&datagram, peer).await;
+        let news = timeout(PULL_EVERY.mul_f64(jitter), core.spread.notified()).await;
+        let now = core.clock.now();
+        let mut peers = match (core.feed.is_some(), news.is_ok()) {
+            (false, _) => choose(&core).into_iter().collect(),
+            (true, false) => choose_near(&core).into_iter().collect(),
+            (true, true) => all_near(&core),
+        };
+        if core.feed.is_some() && now >= far_at + FAR_EVERY {
+            far_at = now;
+            peers.extend(choose_far(&core));
+        }
+        for peer in peers {
+            let datagram = write_pull(&core);
+            // A datagram that cannot be sent is a lost one; the next pull goes elsewhere.
+            let _ = socket.send_to(&datagram, peer).await;
+        }
     }
 }
 
+/// Returns the addresses of a data centre's nodes that are alive, without this one.
+fn alive_in<'s>(core: &Core, shared: &'s Shared, centre: &str) -> Vec<&'s str> {
+    let here = |vm: &&Vm| *shared.board.centres[vm.centre].name == *centre;
+    let vms = shared.board.vms.values();
+    vms.filter(|vm| vm.alive && *vm.address != *core.address)
+        .filter(here)
+        .map(|vm| &*vm.address)
+        .collect()
+}
+
+/// Chooses whom to pull from within the data centre: its delegate half of the time, since that one
+/// reads the feed, else any node.
+fn choose_near(core: &Core) -> Option<SocketAddr> {
+    let shared = core.shared();
+    let centre = core.settings.centre.as_str();
+    let alive = alive_in(core, &shared, centre);
+    let explore = alive.is_empty() || rng().random_ratio(1, EXPLORE_ONE_IN);
+    if explore {
+        let strange = |vm: &&str| **vm != *core.address && !alive.contains(vm);
+        let seeds = shared.seeds.iter();
+        let near = seeds.clone().filter(|s| s.centre == centre);
+        let known = near.map(|s| s.address.as_str());
+        let peers = core.settings.peers.iter().map(String::as_str);
+        let near: Vec<&str> = known.chain(peers).filter(strange).collect();
+        let any: Vec<&str> = seeds.map(|s| s.address.as_str()).filter(strange).collect();
+        let from = match near.is_empty() && alive.is_empty() {
+            true => &any,
+            false => &near,
+        };
+        if let Some(vm) = from.choose(&mut rng()) {
+            return vm.parse().ok();
+        }
+    }
+    let delegate = shared.delegate(centre).filter(|d| *d != core.address);
+    if let Some(delegate) = delegate
+        && rng().random_ratio(1, 2)
+    {
+        return delegate.parse().ok();
+    }
+    alive.choose(&mut rng())?.parse().ok()
+}
+
+fn all_near(core: &Core) -> Vec<SocketAddr> {
+    let shared = core.shared();
+    let near = alive_in(core, &shared, &core.settings.centre);
+    near.iter().filter_map(|vm| vm.parse().ok()).collect()
+}
+
+/// Chooses one node of each other data centre, if this node is its own one's delegate.
+fn choose_far(core: &Core) -> Vec<SocketAddr> {
+    let shared = core.shared();
+    let own = core.settings.centre.as_str();
+    if shared.delegate(own).as_deref() != Some(&*core.address) {
+        return Vec::new();
+    }
+    let mut centres: Vec<&str> = shared.board.centres.values().map(|c| &*c.name).collect();
+    centres.extend(shared.seeds.iter().map(|s| s.centre.as_str()));
+    centres.sort_unstable();
+    centres.dedup();
+    let others = centres.iter().filter(|c| **c != own);
+    let mut out = Vec::new();
+    for centre in others {
+        let alive = alive_in(core, &shared, centre);
+        let listed = shared.seeds.iter().filter(|s| s.centre == *centre);
+        let listed: Vec<&str> = listed.map(|s| s.address.as_str()).collect();
+        let explore = alive.is_empty() || rng().random_ratio(1, EXPLORE_ONE_IN);
+        let from = if explore && !listed.is_empty() {
+            &listed
+        } else {
+            &alive
+        };
+        let chosen = match explore {
+            true => from.choose(&mut rng()).copied(),
+            false => from.iter().min().copied(),
+        };
+        out.extend(chosen.and_then(|vm| vm.parse::<SocketAddr>().ok()));
+    }
+    out
+}
+
 fn write_pull(core: &Core) -> Vec<u8> {
     let mut shared = core.shared();
     let now = core.clock.now();
@@ -79,7 +176,7 @@
     let records = shared.members.records().map(|r| r.vm.as_str());
     let seeds = core.settings.peers.iter().map(String::as_str);
     let roster = shared.fresh.roster().iter().map(String::as_str);
-    let listed = shared.seeds.iter().map(String::as_str);
+    let listed = shared.seeds.iter().map(|s| s.address.as_str());
     let all: Vec<&str> = records
         .chain(seeds)
         .chain(roster)
@@ -96,29 +193,37 @@
         let Ok((size, from)) = socket.recv_from(&mut buffer).await else {
             continue;
         };
-        let reply = take(&core, &buffer[..size]);
-        if let Some(reply) = reply {
+        for reply in take(&core, &buffer[..size]) {
             let _ = socket.send_to(&reply, from).await;
         }
     }
 }
 
-/// Takes one datagram in; a stranger's or a malformed one is counted and dropped.
-fn take(core: &Core, datagram: &[u8]) -> Option<Vec<u8>> {
+/// Takes one datagram in, and returns those that go back; a stranger's or a malformed one is counted
+/// and dropped.
+fn take(core: &Core, datagram: &[u8]) -> Vec<Vec<u8>> {
     core.metrics.gossiped(datagram.len());
     let content = core.settings.secret.open(datagram).ok();
     let packet = content.and_then(|c| decode(c).ok());
     let Some(packet) = packet else {
         core.metrics.dropped_datagram();
-        return None;
+        return Vec::new();
     };
     let now = core.clock.now();
-    match packet.body? {
-        packet::Body::Pull(pull) => Some(reply(core, &pull, now)),
-        packet::Body::News(news) => {
+    match packet.body {
+        Some(packet::Body::Pull(pull)) => {
+            let mut out = vec![reply(core, &pull, now)];
+            // Who holds a newer generation is asked for it at once.
+            if core.feed.is_some() && pull.generation > core.shared().fresh.generation() {
+                out.push(write_pull(core));
+            }
+            out
+        }
+        Some(packet::Body::News(news)) => {
             learn(core, &news, now);
-            None
+            Vec::new()
         }
+        None => Vec::new(),
     }
 }
 
@@ -135,7 +240,7 @@
         core.changed.notify_one();
     }
     let manifest = shared.manifest.map(|d| d.0.to_vec()).unwrap_or_default();
-    let packet = answer(
+    let mut packet = answer(
         pull,
         core.incarnation,
         &manifest,
@@ -143,9 +248,27 @@
         &shared.fresh,
         now,
     );
+    if core.feed.is_some() {
+        add_feed(core, shared, pull, &mut packet);
+    }
     seal(core, &packet)
 }
 
+/// Adds what the feed said of drains; a node of another data centre hears of this one's VMs alone.
+fn add_feed(core: &Core, shared: &Shared, pull: &Pull, packet: &mut Packet) {
+    let Some(packet::Body::News(news)) = &mut packet.body else {
+        return;
+    };
+    news.drains_at = shared.drains_at;
+    news.drained.clone_from(&shared.drained);
+    let own = core.settings.centre.as_str();
+    let asker = shared.members.get(&pull.from);
+    if asker.is_some_and(|record| record.data_centre != own) {
+        let near = alive_in(core, shared, own);
+        news.extras.retain(|e| near.contains(&e.vm.as_str()));
+    }
+}
+
 fn learn(core: &Core, news: &News, now: Instant) {
     let mut shared = core.shared();
     let shared = &mut *shared;
@@ -153,6 +276,14 @@
         .gossip
         .learn(news, &mut shared.members, &mut shared.fresh, now);
     let Some(learned) = learned else { return };
+    if core.feed.is_some() {
+        let reading = Reading {
+            at: news.drains_at,
+            content: None,
+            drained: news.drained.clone(),
+        };
+        shared.take_drains(core, &reading);
+    }
     for record in &learned.records {
         // Word of this VM's earlier incarnations may still be about.
         if *record.vm == *core.address {
--- a/src/node/keep.rs
+++ b/src/node/keep.rs
@@ -27,9 +27,6 @@
 /// The prefix of rows that say who keeps a slice.
 pub const KEEPER_PREFIX: &str = "keeper/";
 
-/// The prefix of rows by which newcomers find the fleet.
-pub const VM_PREFIX: &str = "vm/";
-
 /// How often the controller looks.
 const LOOK_EVERY: Duration = Duration::from_millis(250);
 
@@ -42,9 +39,6 @@
 /// How long a VM must be silent before it leaves the roster.
 const ROSTER_FORGETS: Duration = Duration::from_secs(600);
 
-/// How often a VM renews its row.
-const RENEW_EVERY: Duration = Duration::from_secs(120);
-
 section! {
     /// A keeper's row.
     pub struct Keeper {
@@ -409,34 +403,3 @@
     let keeper: Option<Keeper> = serde_json::from_str(&row.value).ok();
     keeper.is_some_and(|k| *k.vm == *core.address && k.incarnation == core.epoch())
 }
-
-/// Writes this VM's row now and then, and reads those of others until some are known.
-pub async fn register(core: Arc<Core>) {
-    loop {
-        let row = format!("{VM_PREFIX}{}", core.address);
-        let write = Write {
-            key: row,
-            value: Some(core.settings.centre.clone()),
-        };
-        let written = core.platform.commit(Vec::new(), vec![write]).await.is_ok();
-        // A node that knows others hears of the rest from them.
-        if is_alone(&core)
-            && let Ok(rows) = core.platform.scan(VM_PREFIX).await
-        {
-            let names = rows.into_iter().filter_map(|(key, _)| {
-                let name = key.strip_prefix(VM_PREFIX)?;
-                Some(name.to_owned())
-            });
-            core.shared().seeds = names.collect();
-        }
-        let wait = match written && !is_alone(&core) {
-            true => RENEW_EVERY.mul_f64(rng().random_range(0.8..1.2)),
-            false => Duration::from_secs(1).mul_f64(rng().random_range(0.8..1.2)),
-        };
-        sleep(wait).await;
-    }
-}
-
-fn is_alone(core: &Core) -> bool {
-    core.shared().board.vms.len() <= 1
-}
--- a/src/node/listen.rs
+++ b/src/node/listen.rs
@@ -23,8 +23,8 @@
     proxy::{ATTEMPT_HEADER, Attempt},
 };
 
-/// How long a caller may take for the head of a request.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+/// How often callers with HTTP/2 are pinged, and how long an answer is waited for.
+const CALLER_PING: Duration = Duration::from_secs(10);
 
 /// Bytes that the head of a request may have.
 const LARGEST_HEAD: u32 = 32 << 10;
@@ -84,7 +84,11 @@
                 let _ = stream.set_nodelay(true);
                 return stream;
             }
-            Err(_) => sleep(ACCEPT_PAUSE).await,
+            Err(error) => {
+                let error = error.to_string();
+                spdlog::warn!("connection not accepted", kv: { error });
+                sleep(ACCEPT_PAUSE).await;
+            }
         }
     }
 }
@@ -118,6 +122,8 @@
 }
 
 async fn serve_caller(core: Arc<Core>, stream: TcpStream, stop: watch::Receiver<bool>) {
+    let idle = core.settings.idle;
+    let http2 = core.dialect.http2;
     let service = service_fn(move |request: Request<Incoming>| {
         let core = Arc::clone(&core);
         async move {
@@ -127,17 +133,20 @@
         }
     });
     let mut builder = auto::Builder::new(TokioExecutor::new());
+    if !http2 {
+        builder = builder.http1_only();
+    }
     builder
         .http1()
         .timer(TokioTimer::new())
-        .header_read_timeout(HEAD_TIMEOUT)
+        .header_read_timeout(idle)
         .max_buf_size(LARGEST_HEAD as usize);
     builder
         .http2()
         .timer(TokioTimer::new())
         .max_header_list_size(LARGEST_HEAD)
-        .keep_alive_interval(Some(HEAD_TIMEOUT))
-        .keep_alive_timeout(HEAD_TIMEOUT);
+        .keep_alive_interval(Some(CALLER_PING))
+        .keep_alive_timeout(CALLER_PING);
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     tokio::select! {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -1,9 +1,11 @@
 //! The node: what its parts share, and the tasks that keep it in touch.
 
 mod configure;
+mod follow;
 mod gossip;
 mod keep;
 mod listen;
+mod register;
 mod serve;
 mod service;
 mod tasks;
@@ -22,16 +24,21 @@
 use http::HeaderValue;
 use tokio::sync::Notify;
 
-pub use self::serve::run;
+use self::configure::take_up;
+pub use self::{
+    listen::bind,
+    serve::{Deployment, run},
+};
 use crate::{
     board::{Board, Load, View, render},
     clock::{SharedClock, micros_of},
     config::{Digest, Document, Index},
+    feed::Feed,
     fleet::{Links, Membership, codec::Record, gossip::Gossip},
     ops::Metrics,
     platform::Platform,
     policy::{fresh::Freshness, roster::quorum},
-    proxy::{Entry, Gate, Guard, Rates},
+    proxy::{Dialect, Entry, Gate, Guard, Quota, Rates},
     settings::Settings,
 };
 
@@ -58,13 +65,28 @@
     pub dirty: bool,
     /// A node that holds many records that are missing here.
     pub far: Option<String>,
-    /// Addresses that the table lists.
-    pub seeds: Vec<String>,
+    /// Nodes that the table lists.
+    pub seeds: Vec<Seed>,
+    /// Data centres that the feed says are drained, and where that read stands.
+    pub drained: Vec<String>,
+    /// See `drained`.
+    pub drains_at: u64,
+    /// Whether a read of the feed is wanted at once.
+    wants_read: bool,
     /// Chunks of the configuration that is held, for nodes that ask.
     chunks: HashMap<Digest, Bytes>,
     loads: HashMap<Arc<str>, Arc<Load>>,
 }
 
+/// A node that the platform's table lists.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Seed {
+    /// Its fleet address.
+    pub address: String,
+    /// Its data centre; empty when that is not known.
+    pub centre: String,
+}
+
 /// What all parts of a node share.
 pub struct Core {
     /// The fleet address.
@@ -77,6 +99,10 @@
     pub settings: Settings,
     /// The platform.
     pub platform: Platform,
+    /// The feed of configurations, where another program writes them.
+    pub feed: Option<Feed>,
+    /// What headers are called towards callers and targets.
+    pub dialect: Dialect,
     /// The view that the request path reads.
     pub view: ArcSwap<View>,
     /// Links to other nodes.
@@ -87,12 +113,15 @@
     pub guard: Guard,
     /// The entry.
     pub entry: Entry,
-    /// Rates.
+    /// Rates that keepers lend.
     pub rates: Rates,
+    /// Quotas that data centres grant in parts, where there is a feed.
+    pub quota: Quota,
     /// Metrics.
     pub metrics: Metrics,
     shared: Mutex<Shared>,
     stopping: AtomicBool,
+    closed: AtomicBool,
     busy: AtomicU64,
     epoch: AtomicU64,
     /// Wakes the task that fetches newer generations.
@@ -101,6 +130,10 @@
     pub(crate) far: Notify,
     /// Wakes the task that renders views.
     pub(crate) changed: Notify,
+    /// Wakes the task that reads the feed.
+    pub(crate) read_now: Notify,
+    /// Wakes the task that gossips, to spread what is new at once.
+    pub(crate) spread: Notify,
 }
 
 impl Core {
@@ -109,13 +142,18 @@
     /// # Panics
     /// When the fleet's token is no header value, which its hexadecimal form rules out.
     #[must_use]
-    pub fn new(settings: Settings, clock: SharedClock, platform: Platform) -> Arc<Self> {
+    pub fn new(settings: Settings, clock: SharedClock, deployment: Deployment) -> Arc<Self> {
+        let Deployment {
+            platform,
+            feed,
+            dialect,
+        } = deployment;
         let address: Arc<str> = settings.fleet.to_string().into();
         let now = clock.now();
         let incarnation = micros_of(clock.wall());
         let token = HeaderValue::from_str(&settings.secret.token()).expect("hexadecimal digits");
         let index = Arc::new(Index::new(0, Arc::new(Document::default())));
-        let shared = Shared {
+        let mut shared = Shared {
             board: Board::default(),
             fresh: Freshness::new(&address, now),
             members: Membership::default(),
@@ -126,9 +164,15 @@
             dirty: true,
             far: None,
             seeds: Vec::new(),
+            drained: Vec::new(),
+            drains_at: 0,
+            wants_read: false,
             chunks: HashMap::new(),
             loads: HashMap::new(),
         };
+        if feed.is_some() {
+            shared.fresh.count_reads_only();
+        }
         let view = render(&shared.board, &index, &address, &mut HashMap::new());
         let core = Self {
             incarnation,
@@ -138,18 +182,24 @@
             guard: Guard::default(),
             entry: Entry::default(),
             rates: Rates::default(),
+            quota: Quota::default(),
             metrics: Metrics::new(),
             shared: Mutex::new(shared),
             stopping: AtomicBool::new(false),
+            closed: AtomicBool::new(false),
             busy: AtomicU64::new(0),
             epoch: AtomicU64::new(incarnation),
             adopt: Notify::new(),
             far: Notify::new(),
             changed: Notify::new(),
+            read_now: Notify::new(),
+            spread: Notify::new(),
             address,
             clock,
             settings,
             platform,
+            feed,
+            dialect,
         };
         let core = Arc::new(core);
         core.describe();
@@ -190,6 +240,17 @@
     fn stop(&self) {
         self.stopping.store(true, Relaxed);
         self.describe();
+        self.spread.notify_one();
+    }
+
+    /// Tells whether the node, about to end, takes no new requests of callers any more.
+    #[must_use]
+    pub fn closed(&self) -> bool {
+        self.closed.load(Relaxed)
+    }
+
+    fn close(&self) {
+        self.closed.store(true, Relaxed);
     }
 
     /// Counts a caller's request as under way until the returned value is dropped.
@@ -214,6 +275,10 @@
         let alive = shared.board.vms.values().filter(|vm| vm.alive).count();
         let in_touch = alive >= quorum(shared.fresh.roster().len());
         let waited = now >= shared.fresh.started() + ALONE_AFTER;
+        let in_touch = match self.feed.is_some() {
+            true => alive > 1,
+            false => in_touch,
+        };
         !self.stopping() && shared.fresh.fresh(now) && (in_touch || waited)
     }
 
--- a/src/node/serve.rs
+++ b/src/node/serve.rs
@@ -6,46 +6,79 @@
     net::UdpSocket,
     signal::unix::{SignalKind, signal},
     sync::watch,
-    time::{Instant, sleep},
+    time::sleep,
 };
 
 use crate::{
     clock::SystemClock,
     error::Error,
-    node::{Core, configure, gossip, keep, listen, tasks},
+    feed::Feed,
+    node::{Core, configure, follow, gossip, keep, listen, register, tasks},
     ops::serve_local,
-    platform::http_platform,
+    platform::{Platform, http_platform},
+    proxy::Dialect,
     settings::Settings,
 };
 
 /// How long others are given to hear that the node leaves, before it stops to accept.
 const LEAVE_NOTICE: Duration = Duration::from_millis(1_500);
 
-/// How long requests that run may take to end.
-const LONGEST_DRAIN: Duration = Duration::from_secs(900);
+/// The same where the deployment itself asks, once a second, whether the node is ready, and sends
+/// callers elsewhere after two misses.
+const ASKED_NOTICE: Duration = Duration::from_millis(2_900);
+
+/// How long before the end of the grace period a node ends, so that it is not killed.
+const END_MARGIN: Duration = Duration::from_millis(300);
 
 /// How often the drain looks whether requests still run.
 const DRAIN_EVERY: Duration = Duration::from_millis(50);
 
-/// Runs a node until it is told to stop.
+/// What a node's surroundings decide.
+pub struct Deployment {
+    /// The platform's table and object store.
+    pub platform: Platform,
+    /// The feed of configurations, where another program writes them.
+    pub feed: Option<Feed>,
+    /// What headers are called towards callers and targets.
+    pub dialect: Dialect,
+}
+
+impl Deployment {
+    /// Returns the fleet's own: its head row, its chunks and its names.
+    #[must_use]
+    pub fn own(settings: &Settings) -> Self {
+        Self {
+            platform: http_platform(&settings.platform),
+            feed: None,
+            dialect: Dialect::default(),
+        }
+    }
+}
+
+/// Runs a node until it is told to stop. `extra` starts what else serves the deployment.
 ///
 /// # Errors
-/// [`Error::Listen`] when an address cannot be listened on.
-pub async fn run(settings: Settings) -> Result<(), Error> {
+/// [`Error::Listen`] when an address cannot be listened on, or what `extra` returns.
+pub async fn run(
+    settings: Settings,
+    deployment: Deployment,
+    extra: impl AsyncFnOnce(&Arc<Core>) -> Result<(), Error>,
+) -> Result<(), Error> {
     let callers = listen::reserve(settings.callers)?;
     let fleet = listen::bind(settings.fleet_listen).await?;
     let local = listen::bind(settings.local).await?;
     let socket = UdpSocket::bind(settings.fleet_listen)
         .await
         .map_err(listen::listen_error(settings.fleet_listen))?;
-    let platform = http_platform(&settings.platform);
-    let core = Core::new(settings, Arc::new(SystemClock), platform);
-    spdlog::info!("node starts", kv: { vm = &*core.address, incarnation = core.incarnation });
+    let core = Core::new(settings, Arc::new(SystemClock::new()), deployment);
+    let centre = core.settings.centre.as_str();
+    spdlog::info!("node starts", kv: { vm = &*core.address, centre, incarnation = core.incarnation });
     let (stop, stopping) = watch::channel(false);
     start(&core, Arc::new(socket));
     tokio::spawn(listen::serve_fleet(Arc::clone(&core), fleet));
     tokio::spawn(serve_local(Arc::clone(&core), local));
     tokio::spawn(listen::serve_callers(Arc::clone(&core), callers, stopping));
+    extra(&core).await?;
     told_to_stop().await?;
     shut_down(&core, &stop).await;
     Ok(())
@@ -56,13 +89,21 @@
     tokio::spawn(gossip::pull(core(), Arc::clone(&socket)));
     tokio::spawn(gossip::receive(core(), socket));
     tokio::spawn(gossip::catch_up(core()));
-    tokio::spawn(configure::poll(core()));
-    tokio::spawn(configure::adopt(core()));
-    tokio::spawn(keep::keep(core()));
-    tokio::spawn(keep::register(core()));
+    tokio::spawn(register::register(core()));
     tokio::spawn(tasks::render(core()));
-    tokio::spawn(tasks::settle(core()));
     tokio::spawn(tasks::sweep(core()));
+    match core().feed.clone() {
+        Some(feed) => {
+            tokio::spawn(follow::follow(core(), feed.clone()));
+            tokio::spawn(follow::adopt(core(), feed));
+        }
+        None => {
+            tokio::spawn(configure::poll(core()));
+            tokio::spawn(configure::adopt(core()));
+            tokio::spawn(keep::keep(core()));
+            tokio::spawn(tasks::settle(core()));
+        }
+    }
 }
 
 async fn told_to_stop() -> Result<(), Error> {
@@ -77,14 +118,22 @@
 
 /// Tells others, hands the rates over, stops accepting, and waits for what runs.
 async fn shut_down(core: &Arc<Core>, stop: &watch::Sender<bool>) {
+    let told = core.clock.now();
     spdlog::info!("node stops", kv: { under_way = core.under_way() });
     core.stop();
-    keep::hand_over(core).await;
-    sleep(LEAVE_NOTICE).await;
+    let notice = match core.feed.is_some() {
+        true => ASKED_NOTICE,
+        false => {
+            keep::hand_over(core).await;
+            LEAVE_NOTICE
+        }
+    };
+    sleep(notice).await;
+    core.close();
     // Nobody listening any more is fine: the node ends anyway.
     let _ = stop.send(true);
-    let give_up = Instant::now() + LONGEST_DRAIN;
-    while core.under_way() > 0 && Instant::now() < give_up {
+    let give_up = told + core.settings.grace.saturating_sub(END_MARGIN);
+    while core.under_way() > 0 && core.clock.now() < give_up {
         sleep(DRAIN_EVERY).await;
     }
     // The last answers are on their way through the sockets.
--- a/src/node/service.rs
+++ b/src/node/service.rs
@@ -11,7 +11,7 @@
 use crate::{
     config::Digest,
     fleet::codec::{
-        BorrowReply, BorrowRequest, FetchReply, FetchRequest, MembersReply, MembersRequest,
+        BorrowReply, BorrowRequest, DrawReply, DrawRequest, FetchReply, FetchRequest, MembersReply, MembersRequest,
         Resolution as Wire, ResolveReply, ResolveRequest, StatusReply, StatusRequest, VmStatus,
         fleet_server::Fleet,
     },
@@ -72,6 +72,19 @@
         Ok(Response::new(MembersReply { records }))
     }
 
+    async fn draw(&self, request: Request<DrawRequest>) -> Result<Response<DrawReply>, Status> {
+        let name = request.into_inner().organisation;
+        let view = self.0.view.load_full();
+        let organisation = view.index.organisation(&name);
+        let organisation = organisation.ok_or_else(|| Status::not_found("organisation"))?;
+        let drawn = self.0.quota.grant(&self.0, organisation);
+        let due = drawn.err().unwrap_or_default();
+        Ok(Response::new(DrawReply {
+            granted: drawn.is_ok(),
+            due_ms: u32::try_from(due.as_millis()).unwrap_or(u32::MAX),
+        }))
+    }
+
     async fn status(&self, _: Request<StatusRequest>) -> Result<Response<StatusReply>, Status> {
         Ok(Response::new(status(&self.0)))
     }
--- a/src/ops/local.rs
+++ b/src/ops/local.rs
@@ -1,6 +1,9 @@
 //! The local listener: targets announce themselves, operators read readiness, metrics and burn.
 
-use std::sync::{Arc, atomic::Ordering::Relaxed};
+use std::{
+    sync::{Arc, atomic::Ordering::Relaxed},
+    time::Duration,
+};
 
 use serde_json::json;
 use tokio::net::TcpListener;
@@ -69,8 +72,11 @@
         service: said.service,
         address: said.address,
         slots: said.slots,
-        cold: said.cold,
+        cold: if said.cold { LEASE } else { Duration::ZERO },
         leaving,
+        born: 0,
+        sequence: 0,
+        lease: LEASE,
     };
     if core.stopping() && !leaving {
         return Ok((StatusCode::SERVICE_UNAVAILABLE, "the node is stopping").into_response());
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -70,6 +70,24 @@
 }
 
 impl Platform {
+    /// Puts a platform together.
+    #[must_use]
+    pub fn new(
+        read: impl Fn(String) -> Answer<Option<Row>> + Send + Sync + 'static,
+        scan: impl Fn(String) -> Answer<Rows> + Send + Sync + 'static,
+        commit: impl Fn(Vec<Condition>, Vec<Write>) -> Answer<bool> + Send + Sync + 'static,
+        get: impl Fn(String) -> Answer<Option<Bytes>> + Send + Sync + 'static,
+        put: impl Fn(String, Bytes) -> Answer<()> + Send + Sync + 'static,
+    ) -> Self {
+        Self {
+            read: Arc::new(read),
+            scan: Arc::new(scan),
+            commit: Arc::new(commit),
+            get: Arc::new(get),
+            put: Arc::new(put),
+        }
+    }
+
     /// Reads a row.
     ///
     /// # Errors
--- a/src/policy/attempt.rs
+++ b/src/policy/attempt.rs
@@ -5,6 +5,7 @@
 
 use std::{
     collections::{HashMap, VecDeque},
+    fmt,
     time::{Duration, Instant},
 };
 
@@ -61,6 +62,17 @@
     }
 }
 
+impl fmt::Display for AttemptId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            entry,
+            sequence,
+            number,
+        } = self;
+        write!(f, "{entry}.{sequence}.{number}")
+    }
+}
+
 /// Attempts of one entry incarnation that were dropped from the ledger.
 #[derive(Debug, Default, Clone, Copy)]
 struct Dropped {
--- a/src/policy/budget.rs
+++ b/src/policy/budget.rs
@@ -1,7 +1,8 @@
 //! Retry budgets: extra attempts are a share of a service's own traffic.
 
-/// Extra attempts that a quiet service may save up.
-const MOST_SAVED: f64 = 10.0;
+/// Extra attempts that a quiet service may save up at one node, where its configuration gives no
+/// number for the whole fleet.
+pub const MOST_SAVED: f64 = 10.0;
 
 /// The budget of one service.
 #[derive(Debug, Clone, Copy)]
@@ -9,16 +10,16 @@
     saved: f64,
 }
 
-impl Default for RetryBudget {
-    fn default() -> Self {
-        Self { saved: MOST_SAVED }
+impl RetryBudget {
+    /// Starts with all that may be saved up.
+    #[must_use]
+    pub fn new(most: f64) -> Self {
+        Self { saved: most }
     }
-}
 
-impl RetryBudget {
-    /// Adds the share that one request earns.
-    pub fn earn(&mut self, share: f64) {
-        self.saved = (self.saved + share).min(MOST_SAVED);
+    /// Adds the share that one request earns; no more than `most` is saved up.
+    pub fn earn(&mut self, share: f64, most: f64) {
+        self.saved = (self.saved + share).min(most.max(1.0));
     }
 
     /// Takes one extra attempt, if there is one.
--- a/src/policy/fresh.rs
+++ b/src/policy/fresh.rs
@@ -84,6 +84,20 @@
         }
     }
 
+    /// Counts reads of the head alone, own ones and relayed ones.
+    ///
+    /// Where the store is linearizable and others than nodes write to it, news of a quorum proves
+    /// nothing, and a restarted node needs no waiting: the age of a read says it all.
+    pub fn count_reads_only(&mut self) {
+        self.joined = true;
+    }
+
+    /// Returns how old the newest read of the head is that is known of.
+    #[must_use]
+    pub fn head_age(&self, now: Instant) -> Option<Duration> {
+        self.head.map(|(at, _)| now.saturating_duration_since(at))
+    }
+
     /// Returns the generation that is held; 0 for none.
     #[must_use]
     pub fn generation(&self) -> u64 {
--- a/src/policy/limit.rs
+++ b/src/policy/limit.rs
@@ -32,8 +32,12 @@
     Good(Duration),
     /// It said that it has too much to do.
     Shed,
-    /// It failed or gave no answer in time.
+    /// It broke off or gave no answer in time.
     Failed,
+    /// It answered with an error of its own.
+    Erred,
+    /// It could not be connected to.
+    Unreachable,
 }
 
 /// The adaptive limit of one target.
@@ -110,7 +114,7 @@
             }
             Taken::Good(latency) => self.climb(latency),
             Taken::Shed => self.open = (self.open * BACKOFF).max(COLD_LIMIT),
-            Taken::Failed => {
+            Taken::Failed | Taken::Erred | Taken::Unreachable => {
                 self.slow += 1;
                 self.open = (self.open * BACKOFF).max(COLD_LIMIT);
             }
--- a/src/policy/queue.rs
+++ b/src/policy/queue.rs
@@ -1,10 +1,89 @@
-//! A short queue before a target, fair over organisations by deficit round robin.
+//! A short queue before a target: the more urgent first, and fair over organisations by deficit
+//! round robin among those of one rank.
 
 use std::{
-    collections::{HashMap, VecDeque},
+    collections::{BTreeMap, HashMap, VecDeque},
     time::Instant,
 };
 
+value! {
+    /// How urgent a request is; the smallest rank goes first.
+    pub struct Rank {
+        /// Whether it comes from outside. A call of a target goes first: the request for which the
+        /// target makes it holds a slot meanwhile.
+        pub outside: bool,
+        /// The organisation's priority.
+        pub organisation: u32,
+        /// The route's priority.
+        pub route: u32,
+    }
+}
+
+/// Requests that wait, by rank and organisation.
+pub struct RankedQueue<T> {
+    ranks: BTreeMap<Rank, FairQueue<T>>,
+}
+
+impl<T> Default for RankedQueue<T> {
+    fn default() -> Self {
+        Self {
+            ranks: BTreeMap::new(),
+        }
+    }
+}
+
+impl<T> RankedQueue<T> {
+    /// Returns how many requests wait.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.ranks.values().map(FairQueue::len).sum()
+    }
+
+    /// Tells whether none waits.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.ranks.is_empty()
+    }
+
+    /// Adds a request. When `most` already wait, one of the least urgent goes.
+    pub fn push(
+        &mut self,
+        rank: Rank,
+        organisation: &str,
+        weight: u32,
+        deadline: Instant,
+        item: T,
+        most: usize,
+    ) -> Option<T> {
+        let queue = self.ranks.entry(rank).or_default();
+        let dropped = queue.push(organisation, weight, deadline, item, usize::MAX);
+        debug_assert!(dropped.is_none());
+        if self.len() <= most {
+            return None;
+        }
+        let mut last = self.ranks.last_entry()?;
+        let dropped = last.get_mut().drop_newest_of_longest();
+        if last.get().is_empty() {
+            last.remove();
+        }
+        dropped
+    }
+
+    /// Takes the next request whose deadline is still ahead; the late ones go to `late`.
+    pub fn pop(&mut self, now: Instant, mut late: impl FnMut(T)) -> Option<T> {
+        while let Some(mut first) = self.ranks.first_entry() {
+            let found = first.get_mut().pop(now, &mut late);
+            if first.get().is_empty() {
+                first.remove();
+            }
+            if found.is_some() {
+                return found;
+            }
+        }
+        None
+    }
+}
+
 /// What a waiting request is charged.
 const COST: u32 = 1;
 
--- /dev/null
+++ b/src/policy/share.rs
@@ -0,0 +1,77 @@
+//! An organisation's rate where the deployment allows some excess: each data centre grants its part of
+//! it alone, so that no node waits for word from another data centre.
+//!
+//! docs/decisions/4-quota-by-data-centre.md weighs this against keepers.
+
+use std::time::{Duration, Instant};
+
+/// Share of the excess that is handed out; the rest covers two nodes that both take themselves for
+/// the holder of a part for a moment.
+const USED_EXCESS: f64 = 0.6;
+
+/// Share of its burst that a part starts with, since an earlier holder may have granted the rest.
+const START_SHARE: f64 = 0.5;
+
+data! {
+    /// What a deployment tolerates beyond rate and burst.
+    pub struct Excess {
+        /// Requests beyond what rate and burst allow in any window, at most, over the fleet.
+        pub requests: f64,
+        /// Share of what rate and burst allow in a window that may come on top.
+        pub share: f64,
+    }
+}
+
+/// One part of an organisation's quota, as a token bucket.
+#[derive(Debug, Clone)]
+pub struct Part {
+    tokens: f64,
+    at: Instant,
+}
+
+/// How fast a part refills and how much it holds.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Size {
+    /// Requests a second.
+    pub rate: f64,
+    /// Requests at once.
+    pub burst: f64,
+}
+
+impl Size {
+    /// Works out one of `parts` equal parts of a quota.
+    #[must_use]
+    pub fn of(rate: f64, burst: u32, excess: &Excess, parts: u32) -> Self {
+        let parts = f64::from(parts.max(1));
+        Self {
+            rate: rate * (1.0 + USED_EXCESS * excess.share) / parts,
+            burst: (f64::from(burst) + USED_EXCESS * excess.requests) / parts,
+        }
+    }
+}
+
+impl Part {
+    /// Starts a part.
+    #[must_use]
+    pub fn new(size: Size, now: Instant) -> Self {
+        Self {
+            tokens: size.burst * START_SHARE,
+            at: now,
+        }
+    }
+
+    /// Grants one request, or tells how long until the next one is due.
+    ///
+    /// # Errors
+    /// The time until then.
+    pub fn draw(&mut self, size: Size, now: Instant) -> Result<(), Duration> {
+        let passed = now.saturating_duration_since(self.at).as_secs_f64();
+        self.at = self.at.max(now);
+        self.tokens = (self.tokens + passed * size.rate).min(size.burst);
+        if self.tokens >= 1.0 {
+            self.tokens -= 1.0;
+            return Ok(());
+        }
+        Err(Duration::from_secs_f64((1.0 - self.tokens) / size.rate))
+    }
+}
--- a/src/proxy/answer.rs
+++ b/src/proxy/answer.rs
@@ -42,6 +42,8 @@
         NotFresh,
         /// The targets and their queues are full.
         Overloaded,
+        /// The target has no free slot at the moment.
+        Busy,
         /// The node is shutting down.
         Stopping,
         /// The guard is another incarnation than the attempt was meant for.
@@ -91,6 +93,7 @@
             Self::NoTarget => "no-target",
             Self::NotFresh => "not-fresh",
             Self::Overloaded => "overloaded",
+            Self::Busy => "busy",
             Self::Stopping => "stopping",
             Self::OtherIncarnation => "other-incarnation",
             Self::Drained => "drained",
@@ -133,6 +136,7 @@
             self,
             Self::NotFresh
                 | Self::Overloaded
+                | Self::Busy
                 | Self::Stopping
                 | Self::OtherIncarnation
                 | Self::Drained
@@ -146,7 +150,7 @@
     }
 }
 
-const ALL: [Code; 18] = [
+const ALL: [Code; 19] = [
     Code::NoRoute,
     Code::WrongKey,
     Code::RateSpent,
@@ -154,6 +158,7 @@
     Code::NoTarget,
     Code::NotFresh,
     Code::Overloaded,
+    Code::Busy,
     Code::Stopping,
     Code::OtherIncarnation,
     Code::Drained,
--- a/src/proxy/attempt.rs
+++ b/src/proxy/attempt.rs
@@ -5,7 +5,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue};
 use thiserror::Error;
 
-use crate::policy::attempt::AttemptId;
+use crate::policy::{attempt::AttemptId, queue::Rank};
 
 /// The prefix of headers between nodes; callers' headers with it are dropped.
 pub const INTERNAL_PREFIX: &str = "mjd-";
@@ -25,6 +25,10 @@
 const FLOOR: HeaderName = HeaderName::from_static("mjd-floor");
 const SAFE: HeaderName = HeaderName::from_static("mjd-idempotent");
 const HOST: HeaderName = HeaderName::from_static("mjd-host");
+const REQUEST: HeaderName = HeaderName::from_static("mjd-request");
+const RANK: HeaderName = HeaderName::from_static("mjd-rank");
+const WAIT: HeaderName = HeaderName::from_static("mjd-wait-ms");
+const OBJECTIVE: HeaderName = HeaderName::from_static("mjd-objective-ms");
 
 data! {
     /// One attempt at a request.
@@ -47,6 +51,14 @@
         pub idempotent: bool,
         /// The host that the caller asked for.
         pub host: String,
+        /// The request's name, for logs.
+        pub request: String,
+        /// How urgent it is.
+        pub rank: Rank,
+        /// How long it may wait for a slot.
+        pub wait: Duration,
+        /// What its route states as the time within which an answer is worth most; zero for nothing.
+        pub objective: Duration,
     }
 }
 
@@ -58,21 +70,15 @@
 impl Attempt {
     /// Writes the headers.
     pub fn write(&self, headers: &mut HeaderMap) {
-        let AttemptId {
-            entry,
-            sequence,
-            number,
-        } = self.id;
-        let left = u64::try_from(self.left.as_millis()).unwrap_or(u64::MAX);
-        put(
-            headers,
-            ATTEMPT_HEADER,
-            &format!("{entry}.{sequence}.{number}"),
-        );
+        put(headers, ATTEMPT_HEADER, &self.id.to_string());
         put(headers, GUARD, &self.guard.to_string());
         put(headers, TARGET, &self.target);
         put(headers, SERVICE, &self.service);
-        put(headers, LEFT, &left.to_string());
+        put(headers, LEFT, &millis(self.left));
+        put(headers, REQUEST, &self.request);
+        put(headers, RANK, &write_rank(self.rank));
+        put(headers, WAIT, &millis(self.wait));
+        put(headers, OBJECTIVE, &millis(self.objective));
         put(headers, FLOOR, flag(self.floor));
         put(headers, SAFE, flag(self.idempotent));
         put(headers, HOST, &self.host);
@@ -98,6 +104,10 @@
             floor: text(headers, FLOOR)? == flag(true),
             idempotent: text(headers, SAFE)? == flag(true),
             host: text(headers, HOST)?,
+            request: text(headers, REQUEST)?,
+            rank: read_rank(&text(headers, RANK)?).ok_or(HeaderError(RANK))?,
+            wait: Duration::from_millis(number(headers, WAIT)?),
+            objective: Duration::from_millis(number(headers, OBJECTIVE)?),
         };
         drop_prefix(headers, INTERNAL_PREFIX);
         Ok(attempt)
@@ -116,6 +126,29 @@
     }
 }
 
+fn millis(duration: Duration) -> String {
+    duration.as_millis().to_string()
+}
+
+fn write_rank(rank: Rank) -> String {
+    let Rank {
+        outside,
+        organisation,
+        route,
+    } = rank;
+    format!("{}.{organisation}.{route}", flag(outside))
+}
+
+fn read_rank(text: &str) -> Option<Rank> {
+    let mut parts = text.split('.');
+    let rank = Rank {
+        outside: parts.next()? == flag(true),
+        organisation: parts.next()?.parse().ok()?,
+        route: parts.next()?.parse().ok()?,
+    };
+    parts.next().is_none().then_some(rank)
+}
+
 fn flag(set: bool) -> &'static str {
     if set { "1" } else { "0" }
 }
--- /dev/null
+++ b/src/proxy/course.rs
@@ -0,0 +1,322 @@
+//! The course of one request: which attempts are made, one after another or beside each other, until
+//! one of them decides the answer.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use futures::{StreamExt, future::BoxFuture, stream::FuturesUnordered};
+use http::{HeaderValue, Response};
+use hyper::body::Body as _;
+use tokio::time::{sleep, timeout};
+
+use crate::{
+    board::TargetView,
+    fleet::{Body, box_body},
+    proxy::{
+        Code, OUTCOME_HEADER, Outcome,
+        answer::refuse,
+        attempt::{INTERNAL_PREFIX, PUBLIC_PREFIX, drop_prefix},
+        dispatch::{echoes, note_load},
+        head::HOP_BY_HOP,
+        job::{Job, Tried},
+        payload::{HELD_ANSWER_BYTES, HELD_BYTES, Payload, hold_answer},
+        resume,
+    },
+};
+
+/// Targets that one request may be sent to where its route does not bound that.
+const MOST_SENT: u32 = 4;
+
+/// Attempts at one request that guards may refuse without sending them on.
+const MOST_REFUSALS: u32 = 24;
+
+/// How long a request waits for a keeper of its organisation's rate, and how often it asks again.
+const KEEPER_PATIENCE: Duration = Duration::from_secs(2);
+const KEEPER_PAUSE: Duration = Duration::from_millis(100);
+
+/// Share of the time until the deadline that a request may wait for a slot; what is left is for the
+/// work itself.
+const WAIT_SHARE: f64 = 0.6;
+
+/// Share of a route's objective after which an idempotent request is tried a second time beside the
+/// first: an answer that takes half of it can still come in time from elsewhere.
+const SECOND_AFTER: f64 = 0.5;
+
+/// An attempt that ended, at the target and with the number that it had.
+type Ended = (TargetView, Tried);
+
+/// What a request has been through.
+struct Course<'j> {
+    job: &'j Job,
+    payload: Payload,
+    /// Targets that are not asked again, or not now.
+    tried: Vec<Arc<str>>,
+    /// Targets that had no free slot; they are asked to keep the request waiting at last.
+    busy: Vec<TargetView>,
+    /// Attempts that were made.
+    number: u32,
+    /// Attempts that may have reached a target.
+    sent: u32,
+    refusals: u32,
+    /// Whether a target was asked to keep the request waiting.
+    waited: bool,
+    patient_until: Instant,
+    /// A target's own error, which is passed on if nobody else does better.
+    failed: Option<Response<Body>>,
+    last: (Code, Option<Duration>),
+    outcome: Outcome,
+}
+
+/// What is to be done after an attempt.
+enum Next {
+    Answer(Response<Body>),
+    /// Nothing reached a target; another may take the request.
+    Elsewhere,
+    /// It may have run, and may be repeated.
+    Repeat,
+    Stop,
+}
+
+/// Runs a request to its answer.
+pub(super) async fn run(job: &Job, payload: Payload) -> Response<Body> {
+    job.core.entry.earn(job);
+    let mut course = Course {
+        job,
+        payload,
+        tried: Vec::new(),
+        busy: Vec::new(),
+        number: 0,
+        sent: 0,
+        refusals: 0,
+        waited: false,
+        patient_until: job.core.clock.now() + KEEPER_PATIENCE,
+        failed: None,
+        last: (Code::NoTarget, None),
+        outcome: Outcome::NotRun,
+    };
+    let mut running: FuturesUnordered<BoxFuture<'_, Ended>> = FuturesUnordered::new();
+    let mut second = course.second_after();
+    loop {
+        if running.is_empty() {
+            match course.next().await {
+                Some(attempt) => running.push(attempt),
+                None => return course.give_up(),
+            }
+        }
+        let wait = second.map(|at| at.saturating_duration_since(job.core.clock.now()));
+        let ended = match wait {
+            None => running.next().await,
+            Some(wait) => match timeout(wait, running.next()).await {
+                Ok(ended) => ended,
+                Err(_) => {
+                    second = None;
+                    if course.may_send()
+                        && job.core.entry.may_repeat(job)
+                        && let Some(attempt) = course.beside()
+                    {
+                        let request = job.name.as_str();
+                        spdlog::info!("second attempt beside a slow one", kv: { request });
+                        running.push(attempt);
+                    }
+                    continue;
+                }
+            },
+        };
+        let Some((target, tried)) = ended else {
+            continue;
+        };
+        match course.take_up(&target, tried).await {
+            Next::Answer(response) => return response,
+            Next::Elsewhere if !running.is_empty() => {}
+            Next::Elsewhere if course.refusals < MOST_REFUSALS && !job.over() => {}
+            Next::Repeat if !running.is_empty() => {}
+            Next::Repeat if course.may_send() && job.core.entry.may_repeat(job) => {}
+            Next::Stop if !running.is_empty() => {}
+            _ => return course.give_up(),
+        }
+    }
+}
+
+impl<'j> Course<'j> {
+    fn may_send(&self) -> bool {
+        self.sent < self.job.matched.attempts().unwrap_or(MOST_SENT)
+    }
+
+    /// Returns when a second attempt is due beside the first, if ever.
+    fn second_after(&self) -> Option<Instant> {
+        let objective = self.job.objective();
+        let useful = self.job.idempotent && !objective.is_zero();
+        useful.then(|| self.job.begun + objective.mul_f64(SECOND_AFTER))
+    }
+
+    /// Returns the next attempt, if there is a target and a body for one.
+    async fn next(&mut self) -> Option<BoxFuture<'j, Ended>> {
+        let job = self.job;
+        loop {
+            if let Some(attempt) = self.beside() {
+                return Some(attempt);
+            }
+            // All that are there have no free slot: the request waits at the one with least to do.
+            if let Some(target) = self.least_busy() {
+                self.waited = true;
+                let wait = self.longest_wait();
+                let body = self.payload.next()?;
+                return Some(self.start(target, wait, body));
+            }
+            let now = job.core.clock.now();
+            if !self.tried.is_empty() || job.core.ready() || now >= self.patient_until {
+                return None;
+            }
+            // A node that was paused hears of the others again in a moment.
+            sleep(KEEPER_PAUSE).await;
+        }
+    }
+
+    /// Returns an attempt at a target that has a free slot, as far as is known.
+    fn beside(&mut self) -> Option<BoxFuture<'j, Ended>> {
+        let target = self.job.core.entry.choose(self.job, &self.tried)?;
+        // A body that can be sent once waits where it arrives first.
+        let wait = match self.payload.is_held() {
+            true => Duration::ZERO,
+            false => self.longest_wait(),
+        };
+        let body = self.payload.next()?;
+        Some(self.start(target, wait, body))
+    }
+
+    fn longest_wait(&self) -> Duration {
+        self.job.left().mul_f64(WAIT_SHARE)
+    }
+
+    fn least_busy(&mut self) -> Option<TargetView> {
+        let order = |t: &TargetView| (!t.near, t.total() / f64::from(t.slots.max(1)));
+        let least = (0..self.busy.len())
+            .min_by(|a, b| order(&self.busy[*a]).partial_cmp(&order(&self.busy[*b])).unwrap())?;
+        Some(self.busy.swap_remove(least))
+    }
+
+    fn start(&mut self, target: TargetView, wait: Duration, body: Body) -> BoxFuture<'j, Ended> {
+        self.number += 1;
+        self.sent += 1;
+        self.tried.push(Arc::clone(&target.id));
+        let (job, number) = (self.job, self.number);
+        Box::pin(async move {
+            let request = (&job.headers, body);
+            let entry = &job.core.entry;
+            let tried = entry.attempt(job, &target, number, wait, request).await;
+            (target, tried)
+        })
+    }
+
+    async fn take_up(&mut self, target: &TargetView, tried: Tried) -> Next {
+        let result = match tried {
+            Tried::Answer(response, id) if echoes(response.headers(), id) => {
+                pass(self.job, target, response.map(box_body)).await
+            }
+            Tried::Answer(..) => Err(Code::AnswerLost),
+            Tried::Local(response) => pass(self.job, target, response).await,
+            Tried::Broken(code) => Err(code),
+            Tried::Refused(code, due) => return self.refused(target, code, due).await,
+        };
+        match result {
+            Ok(response) if response.status().is_server_error() && self.job.idempotent => {
+                self.failed = Some(response);
+                Next::Repeat
+            }
+            Ok(response) => Next::Answer(response),
+            Err(code) => {
+                self.last = (code, None);
+                self.outcome = Outcome::Unknown;
+                match self.job.idempotent && !self.job.over() {
+                    true => Next::Repeat,
+                    false => Next::Stop,
+                }
+            }
+        }
+    }
+
+    async fn refused(&mut self, target: &TargetView, code: Code, due: Option<Duration>) -> Next {
+        let job = self.job;
+        self.last = (code, due);
+        self.refusals += 1;
+        match code {
+            Code::TargetRefused => {
+                let may = self.may_send() && job.core.entry.may_repeat(job);
+                return if may { Next::Elsewhere } else { Next::Stop };
+            }
+            Code::Busy => self.busy.push(target.clone()),
+            // It has waited its share of the time; what is left is too short for the work.
+            Code::Overloaded if self.waited => {
+                self.sent -= 1;
+                return Next::Stop;
+            }
+            Code::RateUnreachable if job.core.clock.now() < self.patient_until => {
+                // A slice that changes hands is away for a moment only.
+                sleep(KEEPER_PAUSE).await;
+                self.tried.clear();
+            }
+            // The way failed, not the target; a new connection may work.
+            Code::Barred => self.tried.retain(|id| *id != target.id),
+            _ => {}
+        }
+        self.sent -= 1;
+        match code.elsewhere() {
+            true => Next::Elsewhere,
+            false => Next::Stop,
+        }
+    }
+
+    fn give_up(self) -> Response<Body> {
+        let (code, due) = self.last;
+        self.failed
+            .unwrap_or_else(|| refuse(code, self.outcome, due))
+    }
+}
+
+/// Tells how much of an answer is held before it is passed on; nothing of one that is longer.
+fn held_bytes(job: &Job, body: &Body) -> Option<usize> {
+    let size = body.size_hint().exact();
+    let useful = job.idempotent && !job.objective().is_zero();
+    let most = if useful {
+        HELD_ANSWER_BYTES
+    } else {
+        HELD_BYTES
+    };
+    let fits = size.map_or(useful, |size| size <= most as u64);
+    fits.then_some(most)
+}
+
+/// Passes a target's answer on: held if it fits, streamed and resumed if it is long.
+async fn pass(
+    job: &Job,
+    target: &TargetView,
+    response: Response<Body>,
+) -> Result<Response<Body>, Code> {
+    note_load(target, response.headers());
+    let (mut parts, body) = response.into_parts();
+    drop_prefix(&mut parts.headers, INTERNAL_PREFIX);
+    drop_prefix(&mut parts.headers, PUBLIC_PREFIX);
+    for name in &HOP_BY_HOP {
+        parts.headers.remove(name);
+    }
+    let ran = HeaderValue::from_static(Outcome::Ran.name());
+    parts.headers.insert(OUTCOME_HEADER, ran);
+    let body = if let Some(most) = held_bytes(job, &body) {
+        let held = timeout(job.left(), hold_answer(body, most)).await;
+        let held = held.map_err(|_| Code::Timeout)?;
+        let (body, whole) = held.map_err(|error| {
+            let (request, error) = (job.name.as_str(), error.to_string());
+            spdlog::warn!("answer broke off", kv: { request, target = &*target.id, error });
+            Code::AnswerLost
+        })?;
+        match whole {
+            true => body,
+            false => resume::continued(job.clone(), &parts, Arc::clone(&target.id), body),
+        }
+    } else {
+        resume::continued(job.clone(), &parts, Arc::clone(&target.id), body)
+    };
+    Ok(Response::from_parts(parts, body))
+}
--- /dev/null
+++ b/src/proxy/dispatch.rs
@@ -0,0 +1,268 @@
+//! One attempt: the choice of a target, the way to its guard, and what came of it.
+
+use std::{
+    sync::{Arc, PoisonError, atomic::Ordering::Relaxed},
+    time::{Duration, Instant},
+};
+
+use http::{HeaderMap, HeaderValue, Response, Uri, header};
+use rand::rng;
+use tokio::time::{sleep, timeout};
+
+use crate::{
+    board::TargetView,
+    fleet::{Body, LinkError, codec::Resolution},
+    policy::{
+        attempt::AttemptId,
+        budget::{MOST_SAVED, RetryBudget},
+        pick::{Candidate, pick},
+    },
+    proxy::{
+        Code, Entry,
+        answer::CODE_HEADER,
+        attempt::{ATTEMPT_HEADER, Attempt},
+        guard::{LOAD_HEADER, VERDICT_HEADER},
+        job::{Job, Tried},
+        resolve::{RESOLVE_TIMEOUT, resolve},
+    },
+};
+
+/// How long an answer to the question what became of an attempt is looked for after the deadline.
+const RESOLVE_FOR: Duration = Duration::from_secs(2);
+
+/// Counts an attempt as running at a target until it is dropped.
+struct Running<'t>(&'t TargetView);
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        self.0.load.running.fetch_sub(1, Relaxed);
+    }
+}
+
+impl Entry {
+    /// Takes up that a request of a caller earns its share of a later repeat.
+    pub(super) fn earn(&self, job: &Job) {
+        let service = &job.matched.service;
+        let most = match service.retry_slack {
+            0 => MOST_SAVED,
+            slack => f64::from(slack) / f64::from(job.core.view.load().nodes.max(1)),
+        };
+        let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
+        budgets
+            .entry(service.name.clone())
+            .or_insert_with(|| RetryBudget::new(most))
+            .earn(service.retry_share, most);
+    }
+
+    /// Takes a repeat of an idempotent request from the budget, if there is one.
+    pub(super) fn may_repeat(&self, job: &Job) -> bool {
+        if !job.idempotent || job.over() {
+            return false;
+        }
+        let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
+        let budget = budgets.get_mut(&job.matched.service.name);
+        let may = budget.is_some_and(RetryBudget::spend);
+        if !may {
+            spdlog::info!("retry budget spent", kv: { request = job.name.as_str() });
+        }
+        may
+    }
+
+    /// Chooses a target that was not tried yet.
+    pub(super) fn choose(&self, job: &Job, tried: &[Arc<str>]) -> Option<TargetView> {
+        let view = job.core.view.load();
+        let now = job.core.clock.now();
+        let targets = &view
+            .services
+            .get(job.matched.service.name.as_str())?
+            .targets;
+        let open: Vec<&TargetView> = targets.iter().filter(|t| !tried.contains(&t.id)).collect();
+        let paths = self.paths.lock().unwrap_or_else(PoisonError::into_inner);
+        let candidates: Vec<Candidate> = open
+            .iter()
+            .map(|t| Candidate {
+                near: t.near,
+                load: t.total(),
+                slots: f64::from(t.slots),
+                avoided: t.failing || paths.get(&t.vm.address).is_some_and(|p| p.avoided(now)),
+                cold: t.cold,
+            })
+            .collect();
+        drop(paths);
+        pick(&candidates, &mut rng()).map(|i| open[i].clone())
+    }
+
+    fn path(&self, vm: &Arc<str>, worked: bool, now: Instant) {
+        let mut paths = self.paths.lock().unwrap_or_else(PoisonError::into_inner);
+        let path = paths.entry(Arc::clone(vm)).or_default();
+        if worked {
+            path.worked();
+        } else {
+            path.failed(now);
+        }
+    }
+
+    /// Makes one attempt at one target, which may keep it waiting for a slot as long as `wait`.
+    pub(super) async fn attempt(
+        &self,
+        job: &Job,
+        target: &TargetView,
+        number: u32,
+        wait: Duration,
+        (headers, body): (&HeaderMap, Body),
+    ) -> Tried {
+        let core = &job.core;
+        let id = AttemptId {
+            entry: core.incarnation,
+            sequence: job.sequence,
+            number,
+        };
+        let attempt = Attempt {
+            id,
+            guard: target.vm.incarnation,
+            target: target.id.to_string(),
+            service: job.matched.service.name.clone(),
+            caller: job.caller.clone(),
+            left: job.left(),
+            floor: target.failing,
+            idempotent: job.idempotent,
+            host: job.host.clone(),
+            request: job.name.clone(),
+            rank: job.rank,
+            wait,
+            objective: job.objective(),
+        };
+        target.load.running.fetch_add(1, Relaxed);
+        let running = Running(target);
+        let tried = if target.vm.address == core.address {
+            let request = job.request(headers, body);
+            let response = core.guard.serve(core, attempt, request).await;
+            note_load(target, response.headers());
+            read_verdict(response, Tried::Local)
+        } else {
+            self.send(job, target, &attempt, headers, body).await
+        };
+        drop(running);
+        tried
+    }
+
+    async fn send(
+        &self,
+        job: &Job,
+        target: &TargetView,
+        attempt: &Attempt,
+        headers: &HeaderMap,
+        body: Body,
+    ) -> Tried {
+        let core = &job.core;
+        let address = &target.vm.address;
+        let link = match core.links.get(address).await {
+            Ok(link) => link,
+            Err(error @ (LinkError::Connect(_) | LinkError::Broken(_))) => {
+                // Nothing of the request was sent yet.
+                let (request, node) = (job.name.as_str(), &**address);
+                let error = error.to_string();
+                spdlog::warn!("node unreachable", kv: { request, node, error });
+                self.path(address, false, core.clock.now());
+                return Tried::Refused(Code::TargetUnreachable, None);
+            }
+        };
+        let mut request = job.request(headers, body);
+        *request.uri_mut() = absolute(address, &job.uri);
+        attempt.write(request.headers_mut());
+        match timeout(job.left(), link.send(request)).await {
+            Ok(Ok(response)) => {
+                self.path(address, true, core.clock.now());
+                note_load(target, response.headers());
+                read_verdict(response, |response| Tried::Answer(response, attempt.id))
+            }
+            Ok(Err(error)) => {
+                let (request, node) = (job.name.as_str(), &**address);
+                let error = error.to_string();
+                spdlog::warn!("link broke", kv: { request, node, error });
+                self.path(address, false, core.clock.now());
+                core.links.distrust(address).await;
+                self.settle(job, target, attempt, Code::AnswerLost).await
+            }
+            // The operators' timeout goes before the truth where they bound the whole answer.
+            Err(_) if core.feed.is_some() => Tried::Broken(Code::Timeout),
+            Err(_) => self.settle(job, target, attempt, Code::Timeout).await,
+        }
+    }
+
+    /// Finds out what became of an attempt whose answer did not come.
+    async fn settle(&self, job: &Job, target: &TargetView, attempt: &Attempt, code: Code) -> Tried {
+        let core = &job.core;
+        let give_up = match core.feed.is_some() {
+            true => job.deadline,
+            false => job.deadline.max(core.clock.now()) + RESOLVE_FOR,
+        };
+        loop {
+            let left = give_up.saturating_duration_since(core.clock.now());
+            let resolution = timeout(left, resolve(core, target, attempt)).await;
+            let resolution = resolution.unwrap_or_default();
+            let (request, node) = (job.name.as_str(), &*target.vm.address);
+            let found = resolution.map_or("nothing", |r| r.as_str_name());
+            spdlog::info!("attempt resolved", kv: { request, node, found });
+            match resolution {
+                Some(Resolution::NeverSeenNowBarred | Resolution::Cancelled) => {
+                    let code = if job.over() {
+                        Code::Timeout
+                    } else {
+                        Code::Barred
+                    };
+                    return Tried::Refused(code, None);
+                }
+                Some(_) => return Tried::Broken(code),
+                // An idempotent request need not wait for the truth.
+                None if job.idempotent => return Tried::Broken(code),
+                None if core.clock.now() >= give_up => return Tried::Broken(code),
+                None => sleep(RESOLVE_TIMEOUT / 4).await,
+            }
+        }
+    }
+}
+
+fn absolute(address: &str, uri: &Uri) -> Uri {
+    let path = uri.path_and_query().map_or("/", |p| p.as_str());
+    Uri::builder()
+        .scheme("http")
+        .authority(address)
+        .path_and_query(path)
+        .build()
+        .unwrap_or_default()
+}
+
+/// Takes up how many requests run or wait at a target, as its guard says with each answer.
+pub(super) fn note_load(target: &TargetView, headers: &HeaderMap) {
+    let load = headers.get(LOAD_HEADER).and_then(|v| v.to_str().ok());
+    if let Some(load) = load.and_then(|l| l.parse().ok()) {
+        target.load.reported.store(load, Relaxed);
+    }
+}
+
+fn read_verdict<B>(response: Response<B>, answer: impl FnOnce(Response<B>) -> Tried) -> Tried {
+    let headers = response.headers();
+    let text = |name| {
+        headers
+            .get(name)
+            .and_then(|v: &HeaderValue| v.to_str().ok())
+    };
+    let code = text(CODE_HEADER).and_then(Code::parse);
+    let wait = text(header::RETRY_AFTER).and_then(|t| t.parse().ok());
+    match text(VERDICT_HEADER) {
+        Some("answer") => answer(response),
+        Some("refused") => {
+            let code = code.unwrap_or(Code::Overloaded);
+            Tried::Refused(code, wait.map(Duration::from_secs))
+        }
+        _ => Tried::Broken(code.unwrap_or(Code::AnswerLost)),
+    }
+}
+
+/// Tells whether an answer belongs to an attempt.
+pub(super) fn echoes(headers: &HeaderMap, id: AttemptId) -> bool {
+    headers
+        .get(ATTEMPT_HEADER)
+        .is_some_and(|v| *v == id.to_string())
+}
--- a/src/proxy/gate.rs
+++ b/src/proxy/gate.rs
@@ -1,4 +1,4 @@
-//! The one gate before a target: its lease, its limit, its queue and the evidence about it.
+//! The one gate before the targets of this VM.
 
 use std::{
     collections::HashMap,
@@ -9,67 +9,30 @@
     time::{Duration, Instant},
 };
 
-use tokio::{
-    sync::oneshot,
-    time::{Instant as TokioInstant, timeout_at},
-};
+use tokio::{sync::oneshot, time::timeout};
 
 use crate::{
     clock::SharedClock,
-    fleet::codec::{TargetRecord, TargetState},
-    policy::{
-        eject::{Detector, Others},
-        limit::{Limit, Taken},
-        queue::FairQueue,
+    fleet::codec::TargetRecord,
+    policy::{eject::Others, limit::Taken, queue::Rank},
+    proxy::{
+        Code,
+        guarded::{Announcement, Guarded},
+        target::Pool,
     },
-    proxy::{Code, target::Pool},
 };
 
-/// How long an announcement lasts on the guard's clock.
+/// How long an announcement of the fleet's own interface lasts on the guard's clock.
 pub const LEASE: Duration = Duration::from_secs(2);
 
-/// What a target says of itself.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Announcement {
-    /// The target's own name.
-    pub id: String,
-    /// Its service.
-    pub service: String,
-    /// Its address.
-    pub address: String,
-    /// Requests it takes at once.
-    pub slots: u32,
-    /// Whether it is in a cold start.
-    pub cold: bool,
-    /// Whether it is leaving.
-    pub leaving: bool,
-}
-
-/// A target that this node guards.
-pub struct LocalTarget {
-    said: Announcement,
-    lease: Instant,
-    limit: Limit,
-    detector: Detector,
-    running: usize,
-    connections: usize,
-    exchanges: HashMap<u64, Exchanging>,
-    queue: FairQueue<oneshot::Sender<Permit>>,
-    pool: Arc<Pool>,
-}
-
-/// An exchange under way.
-struct Exchanging {
-    begun: Instant,
-    /// Whether it counts as bad already, because it takes so long.
-    overdue: bool,
-}
+/// How often a request that waits looks whether a paced target may start one.
+const PACE_TICK: Duration = Duration::from_millis(20);
 
 /// All targets that this node guards.
 pub struct Gate {
     clock: SharedClock,
     tickets: AtomicU64,
-    targets: Mutex<HashMap<String, LocalTarget>>,
+    targets: Mutex<HashMap<String, Guarded>>,
 }
 
 /// The right to run one request at a target; dropping it lets the next one in.
@@ -89,69 +52,6 @@
     }
 }
 
-impl LocalTarget {
-    /// Each exchange has a connection of its own, so both limits bound the same number.
-    fn allowed(&self) -> usize {
-        self.limit.allowed().min(self.connections)
-    }
-
-    fn count_overdue(&mut self, others: Others, now: Instant) -> bool {
-        let mut ejected = false;
-        for exchange in self.exchanges.values_mut().filter(|e| !e.overdue) {
-            let lasts = now.saturating_duration_since(exchange.begun);
-            if Detector::slow(lasts, others) {
-                exchange.overdue = true;
-                ejected |= self.detector.record(true, others, now);
-            }
-        }
-        ejected
-    }
-
-    /// Takes out all that wait, if the target was ejected, so that they go elsewhere.
-    fn refuse_waiting(&mut self, ejected: bool, now: Instant) -> Vec<oneshot::Sender<Permit>> {
-        let mut out = Vec::new();
-        if ejected {
-            let mut late = Vec::new();
-            while let Some(sender) = self.queue.pop(now, |t| late.push(t)) {
-                out.push(sender);
-            }
-            out.append(&mut late);
-        }
-        out
-    }
-
-    fn state(&self) -> TargetState {
-        if self.said.leaving {
-            TargetState::Leaving
-        } else if self.detector.out() {
-            TargetState::Ejected
-        } else if self.said.cold || self.limit.cold() {
-            TargetState::Cold
-        } else {
-            TargetState::Warm
-        }
-    }
-
-    fn record(&self) -> TargetRecord {
-        let latency = self.limit.usual().as_millis();
-        TargetRecord {
-            id: self.said.id.clone(),
-            service: self.said.service.clone(),
-            state: self.state().into(),
-            slots: self.said.slots,
-            latency_ms: coarse(u32::try_from(latency).unwrap_or(u32::MAX)),
-        }
-    }
-}
-
-/// Rounds to powers of two, so that small changes make no news.
-fn coarse(latency: u32) -> u32 {
-    if latency == 0 {
-        return 0;
-    }
-    latency.checked_next_power_of_two().unwrap_or(u32::MAX)
-}
-
 impl Gate {
     /// Creates a gate before no targets.
     #[must_use]
@@ -163,39 +63,61 @@
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, HashMap<String, LocalTarget>> {
+    fn lock(&self) -> MutexGuard<'_, HashMap<String, Guarded>> {
         self.targets.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Takes an announcement up, which also renews the target's lease.
-    pub fn announce(&self, said: Announcement, now: Instant) {
+    /// Takes an announcement up, which also renews the target's lease, and tells whether it was the
+    /// newest one of its target.
+    pub fn announce(&self, said: Announcement, now: Instant) -> bool {
         let mut targets = self.lock();
-        match targets.get_mut(&said.id) {
+        let mut waiting = Vec::new();
+        // Two targets can't be at one address; the one that was started last is there.
+        let same_place = |t: &Guarded| t.said.address == said.address && t.said.id != said.id;
+        if targets
+            .values()
+            .any(|t| same_place(t) && t.said.born > said.born)
+        {
+            return false;
+        }
+        for target in targets.values_mut().filter(|t| same_place(t)) {
+            target.lease = now;
+            waiting.extend(target.take_waiting(now));
+        }
+        let newest = match targets.get_mut(&said.id) {
             Some(target) if target.said.address == said.address => {
-                if said.cold && !target.said.cold {
-                    target.limit.chill();
+                let newest = target.renew(said, now);
+                if target.said.leaving {
+                    waiting.extend(target.take_waiting(now));
                 }
-                if said.slots != target.said.slots {
-                    target.limit.resize(said.slots);
-                }
-                target.lease = now + LEASE;
-                target.said = said;
+                newest
             }
             _ => {
-                let target = LocalTarget {
-                    lease: now + LEASE,
-                    // A target that was not seen before is trusted with little, whatever it says.
-                    limit: Limit::new(said.slots, true),
-                    detector: Detector::default(),
-                    running: 0,
-                    connections: usize::MAX,
-                    exchanges: HashMap::new(),
-                    queue: FairQueue::default(),
-                    pool: Arc::default(),
-                    said,
-                };
-                targets.insert(target.said.id.clone(), target);
+                targets.insert(said.id.clone(), Guarded::new(said, now));
+                true
             }
+        };
+        drop(targets);
+        drop(waiting);
+        newest
+    }
+
+    /// Takes up that a target has left, or is about to.
+    pub fn withdraw(&self, target: &str, now: Instant) {
+        let mut targets = self.lock();
+        let Some(target) = targets.get_mut(target) else {
+            return;
+        };
+        target.said.leaving = true;
+        let waiting = target.take_waiting(now);
+        drop(targets);
+        drop(waiting);
+    }
+
+    /// Takes up that a target says it stays cold this much longer.
+    pub fn chill(&self, target: &str, left: Duration, now: Instant) {
+        if let Some(target) = self.lock().get_mut(target) {
+            target.chill(left, now);
         }
     }
 
@@ -204,10 +126,10 @@
     /// Returns the addresses of targets that a probe should decide about.
     pub fn sweep(&self, now: Instant) -> Vec<(String, String)> {
         let mut targets = self.lock();
-        targets.retain(|_, t| now < t.lease || t.running > 0);
+        targets.retain(|_, t| t.is_kept(now) || t.running > 0);
         targets
             .values()
-            .filter(|t| t.detector.due(now))
+            .filter(|t| t.probe_due(now))
             .map(|t| (t.said.id.clone(), t.said.address.clone()))
             .collect()
     }
@@ -215,12 +137,7 @@
     /// Takes up how a probe of an ejected target went.
     pub fn probed(&self, target: &str, good: bool, now: Instant) {
         if let Some(target) = self.lock().get_mut(target) {
-            if good {
-                target.detector.restore(now);
-                target.limit.chill();
-            } else {
-                target.detector.extend(now);
-            }
+            target.probed(good, now);
         }
     }
 
@@ -231,7 +148,7 @@
         let mut records: Vec<TargetRecord> = targets
             .values()
             .filter(|t| now < t.lease)
-            .map(LocalTarget::record)
+            .map(|t| t.record_of(now))
             .collect();
         records.sort_by(|a, b| a.id.cmp(&b.id));
         records
@@ -259,15 +176,25 @@
     /// # Errors
     /// The code of a true refusal.
     pub async fn enter(self: &Arc<Self>, wish: &Wish<'_>, now: Instant) -> Result<Permit, Code> {
-        let ticket = match self.knock(wish, now)? {
+        let mut ticket = match self.knock(wish, now)? {
             Entered::At(permit) => return Ok(permit),
             Entered::Queue(ticket) => ticket,
         };
-        let deadline = TokioInstant::from_std(wish.deadline);
-        match timeout_at(deadline, ticket).await {
-            Ok(Ok(permit)) => Ok(permit),
-            Ok(Err(_)) => Err(Code::Overloaded),
-            Err(_) => Err(Code::Timeout),
+        loop {
+            let now = self.clock.now();
+            let left = wish.deadline.saturating_duration_since(now);
+            if left.is_zero() {
+                return Err(Code::Overloaded);
+            }
+            // Ends of exchanges let the next one in; only a start that is paced has to be looked for.
+            let paced = self.pump(wish.target);
+            let wait = if paced { PACE_TICK.min(left) } else { left };
+            match timeout(wait, &mut ticket).await {
+                Ok(Ok(permit)) => return Ok(permit),
+                // The target was ejected or left, or more urgent requests took the room.
+                Ok(Err(_)) => return Err(Code::Busy),
+                Err(_) => {}
+            }
         }
     }
 
@@ -277,16 +204,20 @@
         if now >= target.lease || target.said.leaving || target.said.service != wish.service {
             return Err(Code::NoTarget);
         }
-        if target.detector.out() && !wish.floor {
+        if target.out(now) && !wish.floor {
             return Err(Code::Ejected);
         }
-        target.connections = wish.connections.max(1);
-        if target.queue.is_empty() && target.running < target.allowed() {
-            target.running += 1;
+        target.configure(wish.connections, wish.cold_rate);
+        if target.queue.is_empty() && target.has_room() && target.is_start_due(now) {
+            target.let_in();
             return Ok(Entered::At(self.permit(target)));
         }
+        if wish.deadline <= now {
+            return Err(Code::Busy);
+        }
         let (sender, ticket) = oneshot::channel();
         let dropped = target.queue.push(
+            wish.rank,
             wish.organisation,
             wish.weight,
             wish.deadline,
@@ -298,7 +229,7 @@
         Ok(Entered::Queue(ticket))
     }
 
-    fn permit(self: &Arc<Self>, target: &LocalTarget) -> Permit {
+    fn permit(self: &Arc<Self>, target: &Guarded) -> Permit {
         Permit {
             gate: Arc::clone(self),
             target: target.said.id.clone(),
@@ -309,41 +240,45 @@
     }
 
     fn leave(self: &Arc<Self>, name: &str, ticket: u64) {
-        let mut handed = Vec::new();
+        if let Some(target) = self.lock().get_mut(name) {
+            target.end(ticket);
+        }
+        self.pump(name);
+    }
+
+    /// Lets in whom the target has room for, and tells whether one waits for its pace alone.
+    fn pump(self: &Arc<Self>, name: &str) -> bool {
         let mut late = Vec::new();
+        let mut handed = Vec::new();
         let mut targets = self.lock();
         let Some(target) = targets.get_mut(name) else {
-            return;
+            return false;
         };
-        target.running = target.running.saturating_sub(1);
-        target.exchanges.remove(&ticket);
         let now = self.clock.now();
-        while target.running < target.allowed() {
+        while !target.queue.is_empty() && target.has_room() && target.is_start_due(now) {
             let Some(sender) = target.queue.pop(now, |t| late.push(t)) else {
                 break;
             };
             if sender.is_closed() {
                 continue;
             }
-            target.running += 1;
+            target.let_in();
             handed.push((sender, self.permit(target)));
         }
+        let paced = target.has_room() && !target.is_start_due(now);
         drop(targets);
         // A permit that nobody takes comes back through its own drop, which needs the lock.
         for (sender, permit) in handed {
             drop(sender.send(permit));
         }
         drop(late);
+        paced
     }
 
-    /// Takes up that the exchange of a permit begins.
-    pub fn begin(&self, permit: &Permit, now: Instant) {
+    /// Takes up that the exchange of a permit begins; after `hangs_after` it counts as hanging.
+    pub fn begin(&self, permit: &Permit, hangs_after: Option<Duration>, now: Instant) {
         if let Some(target) = self.lock().get_mut(&permit.target) {
-            let exchange = Exchanging {
-                begun: now,
-                overdue: false,
-            };
-            target.exchanges.insert(permit.ticket, exchange);
+            target.begin(permit.ticket, hangs_after, now);
         }
     }
 
@@ -353,24 +288,17 @@
         let Some(target) = targets.get_mut(&permit.target) else {
             return false;
         };
-        target.limit.record(taken, others.latency);
-        let overdue = target.exchanges.remove(&permit.ticket);
-        if overdue.is_some_and(|e| e.overdue) {
-            return false;
-        }
-        let bad = match taken {
-            Taken::Good(latency) => Detector::slow(latency, others),
-            Taken::Shed => return false,
-            Taken::Failed => true,
+        let ejected = target.record(permit.ticket, taken, others, now);
+        let waiting = match ejected {
+            true => target.take_waiting(now),
+            false => Vec::new(),
         };
-        let ejected = target.detector.record(bad, others, now);
-        let waiting = target.refuse_waiting(ejected, now);
         drop(targets);
         drop(waiting);
         ejected
     }
 
-    /// Counts exchanges that take far longer than the others' as bad before they end, and returns
+    /// Counts exchanges that take far longer than they should as bad before they end, and returns
     /// the targets that this ejects.
     pub fn overdue(&self, others: impl Fn(&str, &str) -> Others, now: Instant) -> Vec<String> {
         let mut ejected = Vec::new();
@@ -379,7 +307,7 @@
             let others = others(&target.said.service, &target.said.id);
             if target.count_overdue(others, now) {
                 ejected.push(target.said.id.clone());
-                waiting.extend(target.refuse_waiting(true, now));
+                waiting.extend(target.take_waiting(now));
             }
         }
         drop(waiting);
@@ -393,16 +321,20 @@
     pub target: &'w str,
     /// The service that it must serve.
     pub service: &'w str,
+    /// How urgent it is.
+    pub rank: Rank,
     /// The organisation; empty on open routes.
     pub organisation: &'w str,
     /// Its weight in the queue.
     pub weight: u32,
-    /// When the request is no longer worth running.
+    /// Until when it may wait for a slot.
     pub deadline: Instant,
     /// Requests that may wait at the target.
     pub most: usize,
     /// Connections that the target accepts.
     pub connections: usize,
+    /// Requests a second that a cold target bears; 0 when its service states none.
+    pub cold_rate: f64,
     /// Whether the floor keeps the target in although it fails.
     pub floor: bool,
 }
--- a/src/proxy/guard.rs
+++ b/src/proxy/guard.rs
@@ -10,7 +10,7 @@
     HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, Uri, Version, header,
 };
 use hyper::body::Incoming;
-use tokio::time::{Instant as TokioInstant, timeout_at};
+use tokio::time::timeout;
 
 use crate::{
     config::Organisation,
@@ -22,7 +22,7 @@
         limit::Taken,
     },
     proxy::{
-        Code, Outcome,
+        Code, Dialect, Outcome, RequestName,
         answer::refuse,
         attempt::{ATTEMPT_HEADER, Attempt},
         gate::{Permit, Wish},
@@ -37,18 +37,16 @@
 /// Tells the entry how many requests run or wait at the target.
 pub const LOAD_HEADER: HeaderName = HeaderName::from_static("mjd-load");
 
-/// A target's own word that it refused a request without running it.
-pub const NOT_RUN_HEADER: HeaderName = HeaderName::from_static("x-not-run");
-
-/// The deadline that a target is told, in milliseconds from the start.
-const DEADLINE_HEADER: HeaderName = HeaderName::from_static("x-deadline-ms");
-
 /// How often admission is asked for again because its term lapsed on the way.
 const MOST_ADMISSIONS: usize = 3;
 
 /// A request is not started with less time left than this.
 const LEAST_LEFT: Duration = Duration::from_millis(1);
 
+/// Share of a route's objective after which an exchange counts as hanging: the work that the
+/// objective allows for is done by then.
+const HANGS_AFTER: f64 = 0.6;
+
 value! {
     /// What an answer from a guard is.
     pub enum Verdict {
@@ -132,13 +130,8 @@
             ),
             Err((code, due)) => mark(refuse(code, Outcome::NotRun, due), Verdict::Refused),
         };
-        let AttemptId {
-            entry,
-            sequence,
-            number,
-        } = id;
         let headers = response.headers_mut();
-        if let Ok(value) = HeaderValue::from_str(&format!("{entry}.{sequence}.{number}")) {
+        if let Ok(value) = HeaderValue::from_str(&id.to_string()) {
             headers.insert(ATTEMPT_HEADER, value);
         }
         headers.insert(LOAD_HEADER, core.gate.load(&target).into());
@@ -161,7 +154,8 @@
         }
         let deadline = arrived + attempt.left;
         let organisation = check(core, &attempt, arrived)?;
-        if let Some(organisation) = &organisation
+        let limited = organisation.as_deref().filter(|_| core.feed.is_none());
+        if let Some(organisation) = limited
             && let Some(refusal) = core.rates.spent(&organisation.name, arrived)
         {
             return Err(refusal);
@@ -170,19 +164,15 @@
         let reuse = attempt.idempotent;
         let exchange = Exchange::open(&permit.address, &permit.pool, reuse, core.clock.now())
             .await
-            .map_err(|_| {
-                record(core, &attempt, &permit, Taken::Failed);
+            .map_err(|error| {
+                let request = attempt.request.as_str();
+                let error = error.to_string();
+                spdlog::warn!("target unreachable", kv: { request, target = permit.address.as_str(), error });
+                record(core, &attempt, &permit, Taken::Unreachable);
                 (Code::TargetUnreachable, None)
             })?;
-        self.start(core, &attempt, organisation.as_deref(), deadline)
-            .await?;
-        let request = prepare(
-            request,
-            &attempt,
-            &permit.address,
-            deadline,
-            core.clock.now(),
-        );
+        self.start(core, &attempt, limited, deadline).await?;
+        let request = prepare(core, request, &attempt, &permit.address, deadline);
         Ok(carry(ticket, attempt, permit, exchange, request, deadline).await)
     }
 
@@ -229,12 +219,16 @@
 }
 
 /// Checks what may change at any moment: freshness, drains and keys.
+///
+/// Where the configuration comes from a linearizable feed, the entry's own check bounds the age of
+/// its word when the caller sent the request, so that keys are not looked at again here; see
+/// [docs/PLATFORM.md](../../docs/PLATFORM.md#freshness).
 fn check(
     core: &Core,
     attempt: &Attempt,
     now: Instant,
 ) -> Result<Option<Arc<Organisation>>, Refused> {
-    if !core.fresh(now) {
+    if core.feed.is_none() && !core.fresh(now) {
         return Err((Code::NotFresh, None));
     }
     // The view is read after the freshness, so that it is no older than the generation that was fresh.
@@ -248,7 +242,7 @@
     let Some((name, key)) = &attempt.caller else {
         return Ok(None);
     };
-    if !view.index.holds(name, key) {
+    if core.feed.is_none() && !view.index.holds(name, key) {
         return Err((Code::WrongKey, None));
     }
     Ok(view.index.organisation(name).cloned())
@@ -268,11 +262,13 @@
     let wish = Wish {
         target: &attempt.target,
         service: &attempt.service,
+        rank: attempt.rank,
         organisation: organisation.map_or("", |o| o.name.as_str()),
         weight: organisation.map_or(1, |o| o.weight),
-        deadline,
+        deadline: deadline.min(now + attempt.wait),
         most: most as usize,
         connections: connections as usize,
+        cold_rate: service.map_or(0.0, |s| s.cold_rate),
         floor: attempt.floor,
     };
     core.gate
@@ -283,12 +279,13 @@
 
 /// Writes the request that the target gets.
 fn prepare(
+    core: &Core,
     request: Request<Body>,
     attempt: &Attempt,
     address: &str,
     deadline: Instant,
-    now: Instant,
 ) -> Request<Body> {
+    let dialect = &core.dialect;
     let (mut parts, body) = request.into_parts();
     parts.version = Version::HTTP_11;
     let path = parts.uri.path_and_query().map_or("/", |p| p.as_str());
@@ -297,28 +294,29 @@
     if let Ok(host) = host {
         parts.headers.insert(header::HOST, host);
     }
-    let left = deadline.saturating_duration_since(now).as_millis();
-    let left = u64::try_from(left).unwrap_or(u64::MAX);
-    parts.headers.insert(DEADLINE_HEADER, left.into());
-    name_caller(&mut parts.headers, attempt);
+    let left = deadline.saturating_duration_since(core.clock.now());
+    let left = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+    parts.headers.insert(&dialect.left, left.into());
+    name_caller(dialect, &mut parts.headers, attempt);
     Request::from_parts(parts, body)
 }
 
 /// Tells the target for whom the request runs and which request it is, so that its log can be read.
-fn name_caller(headers: &mut HeaderMap, attempt: &Attempt) {
-    let AttemptId {
-        entry,
-        sequence,
-        number,
-    } = attempt.id;
-    let id = format!("{entry}.{sequence}.{number}");
-    if let Ok(value) = HeaderValue::from_str(&id) {
-        headers.insert(HeaderName::from_static("x-attempt"), value);
+fn name_caller(dialect: &Dialect, headers: &mut HeaderMap, attempt: &Attempt) {
+    if let RequestName::Fleet(name) = &dialect.request
+        && let Ok(value) = HeaderValue::from_str(&attempt.id.to_string())
+    {
+        headers.insert(name, value);
+    }
+    if let Some(name) = &dialect.addressee
+        && let Ok(value) = HeaderValue::from_str(&attempt.target)
+    {
+        headers.insert(name, value);
     }
     if let Some((organisation, _)) = &attempt.caller
         && let Ok(value) = HeaderValue::from_bytes(organisation.as_bytes())
     {
-        headers.insert(HeaderName::from_static("x-organisation"), value);
+        headers.insert(&dialect.organisation, value);
     }
 }
 
@@ -359,11 +357,19 @@
 ) -> Response<Body> {
     let core = Arc::clone(&ticket.core);
     let sent = core.clock.now();
-    core.gate.begin(&permit, sent);
-    let answer = timeout_at(TokioInstant::from_std(deadline), exchange.send(request)).await;
+    let hangs_after = attempt.objective.mul_f64(HANGS_AFTER);
+    let hangs_after = (!hangs_after.is_zero()).then_some(hangs_after);
+    core.gate.begin(&permit, hangs_after, sent);
+    let named = core.dialect.echoed();
+    let named = named.and_then(|name| request.headers().get(name).cloned());
+    let left = deadline.saturating_duration_since(sent);
+    let answer = timeout(left, exchange.send(request)).await;
+    let latency = core.clock.now().saturating_duration_since(sent);
     let (response, sender) = match answer {
         Ok(Ok(answer)) => answer,
-        Ok(Err(_)) => {
+        Ok(Err(error)) => {
+            let error = error.to_string();
+            note(&attempt, "broke off", latency, &error);
             record(&core, &attempt, &permit, Taken::Failed);
             return mark(
                 refuse(Code::AnswerLost, Outcome::Unknown, None),
@@ -371,6 +377,7 @@
             );
         }
         Err(_) => {
+            note(&attempt, "no answer in time", latency, "");
             record(&core, &attempt, &permit, Taken::Failed);
             return mark(
                 refuse(Code::Timeout, Outcome::Unknown, None),
@@ -378,8 +385,19 @@
             );
         }
     };
-    let latency = core.clock.now().saturating_duration_since(sent);
-    if refused_by_target(&response) {
+    if let Some(name) = core.dialect.echoed()
+        && response.headers().get(name) != named.as_ref()
+    {
+        // The connection carries somebody else's answer, and is dropped with it.
+        note(&attempt, "answered another request", latency, "");
+        record(&core, &attempt, &permit, Taken::Failed);
+        return mark(
+            refuse(Code::AnswerLost, Outcome::Unknown, None),
+            Verdict::Broken,
+        );
+    }
+    if refused_by_target(&core.dialect, &response) {
+        note(&attempt, "refused", latency, response.status().as_str());
         record(&core, &attempt, &permit, Taken::Shed);
         return mark(
             refuse(Code::TargetRefused, Outcome::NotRun, None),
@@ -388,18 +406,27 @@
     }
     let taken = match response.status() {
         StatusCode::SERVICE_UNAVAILABLE => Taken::Shed,
-        status if status.is_server_error() => Taken::Failed,
+        status if status.is_server_error() => Taken::Erred,
         _ => Taken::Good(latency),
     };
+    if response.status().is_server_error() {
+        note(&attempt, "failed", latency, response.status().as_str());
+    }
     let pool = Arc::clone(&permit.pool);
+    let reusable = response.version() == Version::HTTP_11 && !closes(&response);
     let on_end = Box::new(move |end: End| {
         let core = &ticket.core;
         match end {
             End::Whole => {
-                pool.give(sender, core.clock.now());
+                if reusable {
+                    pool.give(sender, core.clock.now());
+                }
                 record(core, &attempt, &permit, taken);
             }
-            End::Broken => record(core, &attempt, &permit, Taken::Failed),
+            End::Broken => {
+                note(&attempt, "broke off in its answer", latency, "");
+                record(core, &attempt, &permit, Taken::Failed);
+            }
             End::Dropped => {}
         }
         drop(permit);
@@ -409,7 +436,26 @@
     mark(response, Verdict::Answer)
 }
 
-fn refused_by_target(response: &Response<Incoming>) -> bool {
-    response.status() == StatusCode::SERVICE_UNAVAILABLE
-        && response.headers().contains_key(NOT_RUN_HEADER)
+/// Logs what went wrong in an exchange with a target.
+fn note(attempt: &Attempt, what: &str, took: Duration, detail: &str) {
+    let request = attempt.request.as_str();
+    let target = attempt.target.as_str();
+    let took_ms = u64::try_from(took.as_millis()).unwrap_or(u64::MAX);
+    spdlog::warn!("target {}", what, kv: { request, target, took_ms, detail });
+}
+
+/// Tells whether a target says that it did not run the request. One that is at the address of
+/// another target says so by status.
+fn refused_by_target(dialect: &Dialect, response: &Response<Incoming>) -> bool {
+    let status = response.status();
+    let misdirected = dialect.addressee.is_some() && status == StatusCode::MISDIRECTED_REQUEST;
+    misdirected
+        || (response.headers().contains_key(&dialect.refused)
+            && (status.is_server_error() || status.is_client_error()))
+}
+
+fn closes(response: &Response<Incoming>) -> bool {
+    let connection = response.headers().get(header::CONNECTION);
+    let text = connection.and_then(|v| v.to_str().ok()).unwrap_or("");
+    text.split(',').any(|t| t.trim().eq_ignore_ascii_case("close"))
 }
--- /dev/null
+++ b/src/proxy/guarded.rs
@@ -0,0 +1,314 @@
+//! One target that this node guards: its lease, its limit, its queue and the evidence about it.
+
+use std::{
+    collections::HashMap,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use tokio::sync::oneshot;
+
+use crate::{
+    fleet::codec::{TargetRecord, TargetState},
+    policy::{
+        eject::{Detector, Others},
+        limit::{Limit, Taken},
+        pace::Pace,
+        queue::RankedQueue,
+        suspicion::{Sign, Suspicion},
+    },
+    proxy::{gate::Permit, target::Pool},
+};
+
+/// How late an announcement may arrive.
+const LATE_ANNOUNCEMENTS: Duration = Duration::from_secs(60);
+
+/// What a target says of itself.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Announcement {
+    /// The target's own name.
+    pub id: String,
+    /// Its service.
+    pub service: String,
+    /// Its address.
+    pub address: String,
+    /// Requests it takes at once.
+    pub slots: u32,
+    /// How much longer it is in a cold start.
+    pub cold: Duration,
+    /// Whether it is leaving.
+    pub leaving: bool,
+    /// When it was started, in milliseconds of its own clock; 0 when it does not say.
+    pub born: u64,
+    /// Rises with each announcement of one run; 0 when it does not say.
+    pub sequence: u64,
+    /// How long the announcement lasts on the guard's clock.
+    pub lease: Duration,
+}
+
+impl Announcement {
+    /// Tells whether this one was written before another one of the same target.
+    fn is_older(&self, than: &Self) -> bool {
+        (self.born, self.sequence) < (than.born, than.sequence)
+    }
+}
+
+/// An exchange under way.
+struct Exchanging {
+    begun: Instant,
+    /// Time after which it counts as hanging, where its route states an objective.
+    hangs_after: Option<Duration>,
+    /// Whether the slow test has counted it as bad already, because it takes so long.
+    overdue: bool,
+    /// Whether the quick test has counted it as hanging.
+    hanging: bool,
+}
+
+/// A target that this node guards.
+pub struct Guarded {
+    pub(super) said: Announcement,
+    pub(super) lease: Instant,
+    cold_until: Instant,
+    limit: Limit,
+    pace: Pace,
+    cold_rate: f64,
+    detector: Detector,
+    suspicion: Suspicion,
+    pub(super) running: usize,
+    pub(super) connections: usize,
+    exchanges: HashMap<u64, Exchanging>,
+    pub(super) queue: RankedQueue<oneshot::Sender<Permit>>,
+    pub(super) pool: Arc<Pool>,
+}
+
+impl Guarded {
+    pub(super) fn new(said: Announcement, now: Instant) -> Self {
+        Self {
+            lease: now + said.lease,
+            cold_until: now + said.cold,
+            // A target that was not seen before is trusted with little, whatever it says.
+            limit: Limit::new(said.slots, true),
+            pace: Pace::new(now),
+            cold_rate: 0.0,
+            detector: Detector::default(),
+            suspicion: Suspicion::new(now),
+            running: 0,
+            connections: usize::MAX,
+            exchanges: HashMap::new(),
+            queue: RankedQueue::default(),
+            pool: Arc::default(),
+            said,
+        }
+    }
+
+    /// Takes a later announcement up; one that was overtaken on the way is ignored.
+    pub(super) fn renew(&mut self, said: Announcement, now: Instant) -> bool {
+        if said.is_older(&self.said) {
+            return false;
+        }
+        if said.born != self.said.born {
+            *self = Self::new(said, now);
+            return true;
+        }
+        if !said.cold.is_zero() && !self.cold(now) {
+            self.limit.chill();
+        }
+        if said.slots != self.said.slots {
+            self.limit.resize(said.slots);
+        }
+        self.lease = now + said.lease;
+        self.cold_until = now + said.cold;
+        // Leaving is final for one run of a target.
+        let leaving = said.leaving || self.said.leaving;
+        self.said = Announcement { leaving, ..said };
+        true
+    }
+
+    /// Tells whether the target is remembered. One that leaves is for longer, since announcements
+    /// from before that may still be on their way.
+    pub(super) fn is_kept(&self, now: Instant) -> bool {
+        let extra = match self.said.leaving {
+            true => LATE_ANNOUNCEMENTS,
+            false => Duration::ZERO,
+        };
+        now < self.lease + extra
+    }
+
+    /// Takes up what the service of the target states about all of its targets.
+    pub(super) fn configure(&mut self, connections: usize, cold_rate: f64) {
+        self.connections = connections.max(1);
+        self.cold_rate = cold_rate;
+    }
+
+    fn cold(&self, now: Instant) -> bool {
+        now < self.cold_until
+    }
+
+    /// Takes up that the target says it stays cold this much longer.
+    pub(super) fn chill(&mut self, left: Duration, now: Instant) {
+        self.cold_until = self.cold_until.max(now + left);
+    }
+
+    /// A target whose cold start is bounded by a rate is paced; any other one is given few requests
+    /// at once. Each exchange has a connection of its own, so that bound holds besides.
+    pub(super) fn has_room(&self) -> bool {
+        let allowed = match self.cold_rate > 0.0 {
+            true => self.said.slots as usize,
+            false => self.limit.allowed(),
+        };
+        self.running < allowed.min(self.connections)
+    }
+
+    /// Tells whether the target's pace lets a request start now.
+    pub(super) fn is_start_due(&mut self, now: Instant) -> bool {
+        let cold = self.cold(now);
+        self.pace.is_due(self.cold_rate, cold, now)
+    }
+
+    /// Takes up that a request is let in.
+    pub(super) fn let_in(&mut self) {
+        self.running += 1;
+        self.pace.start();
+    }
+
+    /// Tells whether the target is taken out.
+    pub(super) fn out(&self, now: Instant) -> bool {
+        self.detector.out() || self.suspicion.out(now)
+    }
+
+    /// Tells whether a probe should decide about its return.
+    pub(super) fn probe_due(&self, now: Instant) -> bool {
+        self.detector.due(now)
+    }
+
+    pub(super) fn probed(&mut self, good: bool, now: Instant) {
+        if good {
+            self.detector.restore(now);
+            self.limit.chill();
+        } else {
+            self.detector.extend(now);
+        }
+    }
+
+    pub(super) fn begin(&mut self, ticket: u64, hangs_after: Option<Duration>, now: Instant) {
+        let exchange = Exchanging {
+            begun: now,
+            hangs_after,
+            overdue: false,
+            hanging: false,
+        };
+        self.exchanges.insert(ticket, exchange);
+    }
+
+    pub(super) fn end(&mut self, ticket: u64) {
+        self.running = self.running.saturating_sub(1);
+        self.exchanges.remove(&ticket);
+    }
+
+    /// Takes up how the target took a request, and tells whether that takes it out.
+    pub(super) fn record(
+        &mut self,
+        ticket: u64,
+        taken: Taken,
+        others: Others,
+        now: Instant,
+    ) -> bool {
+        self.limit.record(taken, others.latency);
+        let exchange = self.exchanges.remove(&ticket);
+        if let Some(sign) = quick_sign(taken, exchange.as_ref())
+            && self.suspicion.record(sign, now)
+        {
+            return true;
+        }
+        if exchange.is_some_and(|e| e.overdue || e.hangs_after.is_some()) {
+            return false;
+        }
+        let bad = match taken {
+            Taken::Good(latency) => Detector::slow(latency, others),
+            Taken::Shed => return false,
+            Taken::Failed | Taken::Unreachable | Taken::Erred => true,
+        };
+        self.detector.record(bad, others, now)
+    }
+
+    /// Counts exchanges that take far too long as bad before they end, and tells whether that takes
+    /// the target out.
+    pub(super) fn count_overdue(&mut self, others: Others, now: Instant) -> bool {
+        let mut out = false;
+        for exchange in self.exchanges.values_mut() {
+            let lasts = now.saturating_duration_since(exchange.begun);
+            if let Some(limit) = exchange.hangs_after {
+                if lasts >= limit && !exchange.hanging {
+                    exchange.hanging = true;
+                    out |= self.suspicion.record(Sign::Hangs, now);
+                }
+            } else if !exchange.overdue && Detector::slow(lasts, others) {
+                exchange.overdue = true;
+                out |= self.detector.record(true, others, now);
+            }
+        }
+        out
+    }
+
+    /// Takes out all that wait, so that they go elsewhere.
+    pub(super) fn take_waiting(&mut self, now: Instant) -> Vec<oneshot::Sender<Permit>> {
+        let mut out = Vec::new();
+        let mut late = Vec::new();
+        while let Some(sender) = self.queue.pop(now, |t| late.push(t)) {
+            out.push(sender);
+        }
+        out.append(&mut late);
+        out
+    }
+
+    fn state(&self, now: Instant) -> TargetState {
+        let cold = match self.cold_rate > 0.0 {
+            true => self.cold(now),
+            false => self.cold(now) || self.limit.cold(),
+        };
+        if self.said.leaving {
+            TargetState::Leaving
+        } else if self.out(now) {
+            TargetState::Ejected
+        } else if cold {
+            TargetState::Cold
+        } else {
+            TargetState::Warm
+        }
+    }
+
+    pub(super) fn record_of(&self, now: Instant) -> TargetRecord {
+        let latency = self.limit.usual().as_millis();
+        TargetRecord {
+            id: self.said.id.clone(),
+            service: self.said.service.clone(),
+            state: self.state(now).into(),
+            slots: self.said.slots,
+            latency_ms: coarse(u32::try_from(latency).unwrap_or(u32::MAX)),
+        }
+    }
+}
+
+/// Returns what an exchange shows to the quick test; nothing where its route states no objective.
+fn quick_sign(taken: Taken, exchange: Option<&Exchanging>) -> Option<Sign> {
+    if taken == Taken::Unreachable {
+        return Some(Sign::Unreachable);
+    }
+    let exchange = exchange.filter(|e| e.hangs_after.is_some())?;
+    match taken {
+        Taken::Good(_) if exchange.hanging => Some(Sign::Recovered),
+        Taken::Good(_) => Some(Sign::Good),
+        Taken::Shed | Taken::Erred => Some(Sign::Failed),
+        Taken::Failed if exchange.hanging => None,
+        Taken::Failed => Some(Sign::Broke),
+        Taken::Unreachable => Some(Sign::Unreachable),
+    }
+}
+
+/// Rounds to powers of two, so that small changes make no news.
+fn coarse(latency: u32) -> u32 {
+    if latency == 0 {
+        return 0;
+    }
+    latency.checked_next_power_of_two().unwrap_or(u32::MAX)
+}
--- a/src/proxy/head.rs
+++ b/src/proxy/head.rs
@@ -6,25 +6,13 @@
 
 use crate::{
     board::View,
-    config::{KEY_HEADER, Organisation},
+    config::Organisation,
     proxy::{
-        Code,
+        Code, Dialect,
         attempt::{INTERNAL_PREFIX, PUBLIC_PREFIX, drop_prefix},
     },
 };
 
-/// The caller's own deadline, in milliseconds from the start.
-const TIMEOUT_HEADER: HeaderName = HeaderName::from_static("x-timeout-ms");
-
-/// Headers that the fleet sets towards targets; callers can't.
-const RESERVED: [&str; 5] = [
-    "x-attempt",
-    "x-organisation",
-    "x-deadline-ms",
-    "x-not-run",
-    KEY_HEADER,
-];
-
 /// Headers that end at each hop.
 pub(super) const HOP_BY_HOP: [HeaderName; 7] = [
     header::CONNECTION,
@@ -46,20 +34,27 @@
 }
 
 /// Finds whose key came with a request.
-pub(super) fn prove(view: &View, headers: &HeaderMap) -> Option<(Arc<Organisation>, String)> {
+pub(super) fn prove(
+    view: &View,
+    dialect: &Dialect,
+    headers: &HeaderMap,
+) -> Option<(Arc<Organisation>, String)> {
     let bearer = headers.get(header::AUTHORIZATION).and_then(|v| {
         let text = v.to_str().ok()?;
         text.strip_prefix("Bearer ").map(str::trim)
     });
-    let plain = headers.get(KEY_HEADER).and_then(|v| v.to_str().ok());
+    let plain = headers.get(&dialect.key).and_then(|v| v.to_str().ok());
     let text = plain.or(bearer)?;
     let (organisation, key) = view.index.key(text)?;
     Some((Arc::clone(organisation), key.to_owned()))
 }
 
 /// Finds the deadline that the caller asked for.
-pub(super) fn wished_timeout(headers: &HeaderMap) -> Result<Option<Duration>, Code> {
-    let Some(value) = headers.get(TIMEOUT_HEADER) else {
+pub(super) fn wished_timeout(
+    dialect: &Dialect,
+    headers: &HeaderMap,
+) -> Result<Option<Duration>, Code> {
+    let Some(value) = headers.get(&dialect.patience) else {
         return Ok(None);
     };
     let millis = value.to_str().ok().and_then(|t| t.parse().ok());
@@ -69,7 +64,7 @@
 }
 
 /// Drops what must not reach a target: keys, and every header that the fleet itself sets.
-pub(super) fn clean(mut headers: HeaderMap) -> HeaderMap {
+pub(super) fn clean(dialect: &Dialect, mut headers: HeaderMap) -> HeaderMap {
     let listed: Vec<HeaderName> = headers
         .get_all(header::CONNECTION)
         .iter()
@@ -85,10 +80,9 @@
     headers.remove(header::AUTHORIZATION);
     headers.remove(header::HOST);
     headers.remove(header::EXPECT);
-    for name in RESERVED {
+    for name in dialect.reserved() {
         headers.remove(name);
     }
-    headers.remove(TIMEOUT_HEADER);
     drop_prefix(&mut headers, INTERNAL_PREFIX);
     drop_prefix(&mut headers, PUBLIC_PREFIX);
     headers
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -2,11 +2,17 @@
 
 mod answer;
 mod attempt;
+mod course;
+mod dialect;
+mod dispatch;
 mod entry;
 mod gate;
 mod guard;
+mod guarded;
 mod head;
+mod job;
 mod payload;
+mod quota;
 mod rates;
 mod resolve;
 mod resume;
@@ -16,9 +22,12 @@
 pub use self::{
     answer::{CODE_HEADER, Code, OUTCOME_HEADER, Outcome, refuse},
     attempt::{ATTEMPT_HEADER, Attempt, HeaderError},
+    dialect::{Dialect, RequestName},
     entry::Entry,
-    gate::{Announcement, Gate, LEASE, Permit, Wish},
+    gate::{Gate, LEASE, Permit, Wish},
     guard::{Guard, others_of},
+    guarded::Announcement,
+    quota::Quota,
     rates::Rates,
     watch::Watched,
 };
--- a/src/proxy/payload.rs
+++ b/src/proxy/payload.rs
@@ -1,4 +1,4 @@
-//! A caller's body: held, so that attempts can be repeated, or passed on once.
+//! Bodies on the way: held, so that attempts can be repeated, or passed on once.
 
 use std::time::Duration;
 
@@ -16,6 +16,10 @@
 /// Bodies up to this many bytes are held, so that an attempt can be repeated.
 pub const HELD_BYTES: usize = 64 << 10;
 
+/// Answers up to this many bytes are held where a route states an objective: well above the largest
+/// documents of the sites, and small beside a node's memory.
+pub const HELD_ANSWER_BYTES: usize = 1 << 20;
+
 /// How long a caller's body may stand still.
 const BODY_PAUSE: Duration = Duration::from_secs(10);
 
@@ -26,11 +30,9 @@
 }
 
 impl Payload {
-    /// Takes a body back that was not sent.
-    pub(super) fn give_back(&mut self, unsent: Body) {
-        if let Self::Once(body) = self {
-            *body = Some(unsent);
-        }
+    /// Tells whether the body can be sent again.
+    pub(super) fn is_held(&self) -> bool {
+        matches!(self, Self::Held(_))
     }
 
     /// Returns the body for the next attempt, unless it is gone.
@@ -49,38 +51,70 @@
 }
 
 /// Holds a body that fits, so that attempts can be repeated; a larger one is passed on once.
-pub(super) async fn hold(mut body: Incoming) -> Result<Payload, Code> {
+pub(super) async fn hold(body: Incoming) -> Result<Payload, Code> {
     if body.is_end_stream() {
         return Ok(Payload::Held(Bytes::new()));
     }
-    if body.size_hint().lower() > HELD_BYTES as u64 {
-        return Ok(Payload::Once(Some(paced(Vec::new(), body))));
+    let held = collect(box_body(body), HELD_BYTES, Some(BODY_PAUSE)).await;
+    match held.map_err(|_| Code::RequestIncomplete)? {
+        Collected::Whole(bytes) => Ok(Payload::Held(bytes)),
+        Collected::Begun(body) => Ok(Payload::Once(Some(body))),
     }
+}
+
+/// Holds a target's answer up to a number of bytes, so that one that breaks can be repeated.
+pub(super) async fn hold_answer(body: Body, most: usize) -> Result<(Body, bool), BoxError> {
+    Ok(match collect(body, most, None).await? {
+        Collected::Whole(bytes) => (full(bytes), true),
+        Collected::Begun(body) => (body, false),
+    })
+}
+
+/// What was read of a body.
+enum Collected {
+    Whole(Bytes),
+    /// More than fits: a body with what was read and the rest.
+    Begun(Body),
+}
+
+async fn collect(
+    mut body: Body,
+    most: usize,
+    pause: Option<Duration>,
+) -> Result<Collected, BoxError> {
     let mut chunks: Vec<Bytes> = Vec::new();
     let mut size = 0;
-    while size <= HELD_BYTES {
-        match timeout(BODY_PAUSE, body.frame()).await {
-            Err(_) | Ok(Some(Err(_))) => return Err(Code::RequestIncomplete),
-            Ok(None) => return Ok(Payload::Held(Bytes::from(chunks.concat()))),
-            Ok(Some(Ok(frame))) => {
-                if let Ok(data) = frame.into_data() {
-                    size += data.len();
-                    chunks.push(data);
-                }
-            }
+    if body.size_hint().lower() > most as u64 {
+        return Ok(Collected::Begun(paced(chunks, body, pause)));
+    }
+    while size <= most {
+        let frame = match pause {
+            Some(pause) => timeout(pause, body.frame()).await?,
+            None => body.frame().await,
+        };
+        let Some(frame) = frame else {
+            return Ok(Collected::Whole(Bytes::from(chunks.concat())));
+        };
+        if let Ok(data) = frame?.into_data() {
+            size += data.len();
+            chunks.push(data);
         }
     }
-    Ok(Payload::Once(Some(paced(chunks, body))))
+    Ok(Collected::Begun(paced(chunks, body, pause)))
 }
 
-/// Streams a body that began with some chunks; one that stands still breaks.
-fn paced(chunks: Vec<Bytes>, body: Incoming) -> Body {
+/// Streams a body that began with some chunks; one that stands still longer than `pause` breaks.
+fn paced(chunks: Vec<Bytes>, body: Body, pause: Option<Duration>) -> Body {
     let begun = stream::iter(chunks.into_iter().map(|c| Ok(Frame::data(c))));
-    let rest = stream::unfold(Some(BodyStream::new(body)), |state| async move {
+    let rest = stream::unfold(Some(BodyStream::new(body)), move |state| async move {
         let mut frames = state?;
-        match timeout(BODY_PAUSE, frames.next()).await {
+        let next = match pause {
+            Some(pause) => timeout(pause, frames.next()).await,
+            None => Ok(frames.next().await),
+        };
+        match next {
             Ok(Some(Ok(frame))) => Some((Ok(frame), Some(frames))),
-            Ok(Some(Err(error))) => Some((Err(BoxError::from(error)), None)),
+            Ok(Some(Err(error))) => Some((Err(error), None)),
             Ok(None) => None,
             Err(late) => Some((Err(BoxError::from(late)), None)),
         }
--- a/src/proxy/resume.rs
+++ b/src/proxy/resume.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     fleet::{Body, BoxError, box_body, empty},
-    proxy::entry::{Job, Tried},
+    proxy::job::{Job, Tried},
 };
 
 /// Continuations of one answer, at most.
@@ -74,19 +74,19 @@
 
 /// Asks another target for the rest, and makes sure that it is the rest of the same answer.
 async fn next_part(progress: &mut Progress) -> Option<Body> {
-    while progress.left > 0 && progress.job.may_repeat() {
+    while progress.left > 0 && progress.job.core.entry.may_repeat(&progress.job) {
         progress.left -= 1;
         let job = progress.job.again();
-        let target = job.choose(&progress.tried)?;
+        let target = job.core.entry.choose(&job, &progress.tried)?;
         progress.tried.push(Arc::clone(&target.id));
-        let mut headers = job.headers().clone();
+        let mut headers = job.headers.clone();
         let range = HeaderValue::from_str(&format!("bytes={}-", progress.sent)).ok()?;
         headers.insert(header::RANGE, range);
         headers.insert(header::IF_RANGE, progress.tag.clone());
         let tried = job
             .core
             .entry
-            .attempt(&job, &target, 1, &headers, empty())
+            .attempt(&job, &target, 1, job.left(), (&headers, empty()))
             .await;
         let response = match tried {
             Tried::Answer(response, _) => response.map(box_body),
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -21,6 +21,15 @@
     runtime.block_on(future)
 }
 
+/// Runs a future to its end on one thread, for nodes on a small part of a processor.
+///
+/// # Errors
+/// What the future returns, or [`Error::Io`] when no runtime can be made.
+pub fn block_on_one<T>(future: impl Future<Output = Result<T, Error>>) -> Result<T, Error> {
+    let runtime = Builder::new_current_thread().enable_all().build()?;
+    runtime.block_on(future)
+}
+
 /// Prints an error and returns the exit code.
 #[must_use]
 pub fn finish(result: Result<Exit, Error>) -> ExitCode {
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -5,6 +5,7 @@
 use std::{
     env, fs,
     net::{IpAddr, SocketAddr},
+    time::Duration,
 };
 
 use crate::{
@@ -12,11 +13,23 @@
     error::{Error, Finding, Findings},
     fleet::Secret,
     jsonc::{Fields, Source},
+    policy::share::Excess,
 };
 
 /// The environment variable that may hold the fleet secret.
 pub const SECRET_VARIABLE: &str = "MARJORAMDYKE_SECRET";
 
+/// How long a shutdown may take where nothing else is set.
+const DEFAULT_GRACE_S: f64 = 900.0;
+
+/// How long a caller's connection may rest between requests, or take for the head of one.
+const DEFAULT_IDLE_S: f64 = 10.0;
+
+const DEFAULT_FLOOR: f64 = 0.5;
+const DEFAULT_RETRY_SHARE: f64 = 0.1;
+const LONGEST_S: f64 = 86_400.0;
+const MOST: u32 = 1_000_000;
+
 /// What a node is started with.
 #[derive(Debug, Clone)]
 pub struct Settings {
@@ -36,6 +49,36 @@
     pub peers: Vec<String>,
     /// The fleet secret.
     pub secret: Secret,
+    /// The service that runs on this VM, which targets are told as the origin of requests.
+    pub service: Option<String>,
+    /// Where the deployment asks whether the node is ready, if not at `local`.
+    pub ready: Option<SocketAddr>,
+    /// Where targets of this VM announce themselves, if not at `local`.
+    pub announcements: Option<SocketAddr>,
+    /// The address of the target on this VM, if the deployment says it.
+    pub target: Option<String>,
+    /// Data centres of the deployment, over which quotas are divided.
+    pub data_centres: Vec<String>,
+    /// Requests beyond organisations' rates and bursts that the deployment tolerates.
+    pub excess: Excess,
+    /// How long a shutdown may take.
+    pub grace: Duration,
+    /// How long a caller's connection may rest.
+    pub idle: Duration,
+    /// What holds for services whose configuration does not say it.
+    pub defaults: Defaults,
+}
+
+data! {
+    /// What holds for services whose configuration, in a deployment with a feed, does not say it.
+    pub struct Defaults {
+        /// Share of healthy capacity that ejection must leave, 0 to 1.
+        pub floor: f64,
+        /// Share of extra attempts that retries may add to the traffic.
+        pub retry_share: f64,
+        /// Extra attempts beyond that share that may be saved up over the fleet.
+        pub retry_slack: u32,
+    }
 }
 
 impl Settings {
@@ -56,6 +99,58 @@
     platform: Option<String>,
     peers: Vec<String>,
     secret_file: Option<String>,
+    deployment: Deployed,
+}
+
+/// Fields that only the file has.
+#[derive(Default)]
+struct Deployed {
+    service: Option<String>,
+    ready: Option<String>,
+    announcements: Option<String>,
+    target: Option<String>,
+    data_centres: Vec<String>,
+    quota_slack: f64,
+    quota_overage: f64,
+    grace_s: f64,
+    idle_s: f64,
+    floor: f64,
+    retry_share: f64,
+    retry_slack: u32,
+}
+
+fn deployed(fields: &mut Fields<'_>) -> Deployed {
+    let mut text = |name: &str| fields.text(name).map(|t| t.value);
+    let (service, ready) = (text("service"), text("ready"));
+    let (announcements, target) = (text("announcements"), text("target"));
+    Deployed {
+        service,
+        ready,
+        announcements,
+        target,
+        data_centres: fields
+            .texts("data_centres")
+            .into_iter()
+            .map(|t| t.value)
+            .collect(),
+        quota_slack: fields.number("quota_slack", 0.0..=f64::from(MOST), 0.0),
+        quota_overage: fields.number("quota_overage", 0.0..=1.0, 0.0),
+        grace_s: fields.number("grace_s", 0.0..=LONGEST_S, DEFAULT_GRACE_S),
+        idle_s: fields.number("idle_s", 1.0..=LONGEST_S, DEFAULT_IDLE_S),
+        floor: fields.number("floor", 0.0..=1.0, DEFAULT_FLOOR),
+        retry_share: fields.number("retry_share", 0.0..=1.0, DEFAULT_RETRY_SHARE),
+        retry_slack: fields.whole("retry_slack", 0..=MOST, 0),
+    }
+}
+
+fn no_file() -> Deployed {
+    Deployed {
+        grace_s: DEFAULT_GRACE_S,
+        idle_s: DEFAULT_IDLE_S,
+        floor: DEFAULT_FLOOR,
+        retry_share: DEFAULT_RETRY_SHARE,
+        ..Deployed::default()
+    }
 }
 
 /// Reads the settings from the file that the flags name, and from the flags.
@@ -65,11 +160,17 @@
 pub fn load(args: &NodeArgs) -> Result<Settings, Error> {
     let mut found = Findings::default();
     let file = match &args.settings {
-        None => Raw::default(),
+        None => Raw {
+            deployment: no_file(),
+            ..Raw::default()
+        },
         Some(path) => {
             let text = read(path)?;
             let source = Source::new(path, &text);
-            let raw = source.object().map(raw).unwrap_or_default();
+            let raw = source.object().map(raw).unwrap_or_else(|| Raw {
+                deployment: no_file(),
+                ..Raw::default()
+            });
             found.0.extend(source.findings().0);
             raw
         }
@@ -100,7 +201,9 @@
         platform: text("platform"),
         secret_file: text("secret_file"),
         peers: Vec::new(),
+        deployment: Deployed::default(),
     };
+    raw.deployment = deployed(&mut fields);
     raw.peers = fields.texts("peers").into_iter().map(|t| t.value).collect();
     fields.finish();
     raw
@@ -121,6 +224,7 @@
         } else {
             args.peers.clone()
         },
+        deployment: file.deployment,
     }
 }
 
@@ -139,6 +243,13 @@
     if raw.centre.is_none() {
         add(found, "data_centre", "is missing");
     }
+    let given = raw.deployment;
+    let optional = |name, text: Option<String>, found: &mut Findings| match text {
+        None => None,
+        text => address(name, text, found),
+    };
+    let ready = optional("ready", given.ready, found);
+    let announcements = optional("announcements", given.announcements, found);
     let secret = secret(raw.secret_file.as_deref(), found)?;
     let parts = (fleet, fleet_listen, callers, local);
     let (Some(fleet), Some(fleet_listen), Some(callers), Some(local)) = parts else {
@@ -156,6 +267,22 @@
         platform: platform.to_string(),
         peers: raw.peers,
         secret,
+        service: given.service,
+        ready,
+        announcements,
+        target: given.target,
+        data_centres: given.data_centres,
+        excess: Excess {
+            requests: given.quota_slack,
+            share: given.quota_overage,
+        },
+        grace: Duration::from_secs_f64(given.grace_s),
+        idle: Duration::from_secs_f64(given.idle_s),
+        defaults: Defaults {
+            floor: given.floor,
+            retry_share: given.retry_share,
+            retry_slack: given.retry_slack,
+        },
     }))
 }
 
