--- a/src/board/view.rs
+++ b/src/board/view.rs
@@ -3,10 +3,10 @@
 use std::{
     collections::{BTreeMap, HashMap, HashSet},
     sync::{
-        Arc,
+        Arc, Mutex, PoisonError,
         atomic::{AtomicU32, Ordering::Relaxed},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use crate::{
@@ -19,13 +19,33 @@
     },
 };
 
+/// How long a load counts that a guard reported: about the time of a short piece of work.
+const REPORT_LASTS: Duration = Duration::from_millis(300);
+
 /// Loads of one target as this node sees them; they outlive views.
 #[derive(Debug, Default)]
 pub struct Load {
     /// Attempts under way from this node.
     pub running: AtomicU32,
-    /// Attempts that the guard last reported as running or waiting.
-    pub reported: AtomicU32,
+    /// Attempts that the guard last reported as running or waiting, and when.
+    reported: Mutex<Option<(u32, Instant)>>,
+}
+
+impl Load {
+    /// Takes up what the guard reports.
+    pub fn report(&self, load: u32, now: Instant) {
+        let mut reported = self.reported.lock().unwrap_or_else(PoisonError::into_inner);
+        *reported = Some((load, now));
+    }
+
+    /// Returns the load as far as it is known.
+    #[must_use]
+    pub fn known(&self, now: Instant) -> u32 {
+        let reported = self.reported.lock().unwrap_or_else(PoisonError::into_inner);
+        let recent = reported.filter(|(_, at)| now < *at + REPORT_LASTS);
+        let running = self.running.load(Relaxed);
+        recent.map_or(running, |(load, _)| running.max(load))
+    }
 }
 
 /// A VM as the request path sees it.
@@ -258,8 +278,7 @@
 impl TargetView {
     /// Returns the load that the choice compares.
     #[must_use]
-    pub fn total(&self) -> f64 {
-        let running = self.load.running.load(Relaxed);
-        f64::from(running.max(self.load.reported.load(Relaxed)))
+    pub fn total(&self, now: Instant) -> f64 {
+        f64::from(self.load.known(now))
     }
 }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -22,7 +22,7 @@
 use arc_swap::ArcSwap;
 use bytes::Bytes;
 use http::HeaderValue;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 use self::configure::take_up;
 pub use self::{
@@ -122,6 +122,7 @@
     shared: Mutex<Shared>,
     stopping: AtomicBool,
     closed: AtomicBool,
+    ending: watch::Sender<bool>,
     busy: AtomicU64,
     epoch: AtomicU64,
     /// Wakes the task that fetches newer generations.
@@ -187,6 +188,7 @@
             shared: Mutex::new(shared),
             stopping: AtomicBool::new(false),
             closed: AtomicBool::new(false),
+            ending: watch::Sender::new(false),
             busy: AtomicU64::new(0),
             epoch: AtomicU64::new(incarnation),
             adopt: Notify::new(),
@@ -249,6 +251,23 @@
         self.closed.load(Relaxed)
     }
 
+    /// Tells whether the node ends now, and answers what still runs.
+    #[must_use]
+    pub fn ends(&self) -> bool {
+        *self.ending.borrow()
+    }
+
+    /// Waits until the node ends.
+    pub async fn ending(&self) {
+        let mut ending = self.ending.subscribe();
+        // The sender lives as long as the node.
+        let _ = ending.wait_for(|ends| *ends).await;
+    }
+
+    fn end(&self) {
+        self.ending.send_replace(true);
+    }
+
     fn close(&self) {
         self.closed.store(true, Relaxed);
     }
--- a/src/node/serve.rs
+++ b/src/node/serve.rs
@@ -1,6 +1,9 @@
 //! Starts a node, runs it, and shuts it down without cutting a request.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use tokio::{
     net::UdpSocket,
@@ -27,8 +30,10 @@
 /// callers elsewhere after two misses.
 const ASKED_NOTICE: Duration = Duration::from_millis(2_900);
 
-/// How long before the end of the grace period a node ends, so that it is not killed.
-const END_MARGIN: Duration = Duration::from_millis(300);
+/// Share of the grace period after which what still runs gets a last answer, and the share after which
+/// the node ends, so that it is not killed.
+const ANSWER_AT: f64 = 0.9;
+const END_AT: f64 = 0.95;
 
 /// How often the drain looks whether requests still run.
 const DRAIN_EVERY: Duration = Duration::from_millis(50);
@@ -132,11 +137,17 @@
     core.close();
     // Nobody listening any more is fine: the node ends anyway.
     let _ = stop.send(true);
-    let give_up = told + core.settings.grace.saturating_sub(END_MARGIN);
-    while core.under_way() > 0 && core.clock.now() < give_up {
-        sleep(DRAIN_EVERY).await;
-    }
+    wait_for_idle(core, told + core.settings.grace.mul_f64(ANSWER_AT)).await;
+    core.end();
+    wait_for_idle(core, told + core.settings.grace.mul_f64(END_AT)).await;
     // The last answers are on their way through the sockets.
     sleep(DRAIN_EVERY).await;
     spdlog::info!("node ends", kv: { under_way = core.under_way() });
 }
+
+/// Waits until nothing runs any more, or until an instant.
+async fn wait_for_idle(core: &Core, until: Instant) {
+    while core.under_way() > 0 && core.clock.now() < until {
+        sleep(DRAIN_EVERY).await;
+    }
+}
--- a/src/policy/share.rs
+++ b/src/policy/share.rs
@@ -7,10 +7,10 @@
 
 /// Share of the excess that is handed out; the rest covers two nodes that both take themselves for
 /// the holder of a part for a moment.
-const USED_EXCESS: f64 = 0.6;
+const USED_EXCESS: f64 = 0.5;
 
 /// Share of its burst that a part starts with, since an earlier holder may have granted the rest.
-const START_SHARE: f64 = 0.5;
+const START_SHARE: f64 = 0.2;
 
 data! {
     /// What a deployment tolerates beyond rate and burst.
--- a/src/proxy/course.rs
+++ b/src/proxy/course.rs
@@ -20,7 +20,7 @@
         attempt::{INTERNAL_PREFIX, PUBLIC_PREFIX, drop_prefix},
         dispatch::{echoes, note_load},
         head::HOP_BY_HOP,
-        job::{Job, Tried},
+        job::{Job, Tried, whole_millis},
         payload::{HELD_ANSWER_BYTES, HELD_BYTES, Payload, hold_answer},
         resume,
     },
@@ -79,7 +79,7 @@
     Stop,
 }
 
-/// Runs a request to its answer.
+/// Runs a request to its answer, or to the end of the node.
 pub(super) async fn run(job: &Job, payload: Payload) -> Response<Body> {
     job.core.entry.earn(job);
     let mut course = Course {
@@ -96,14 +96,26 @@
         last: (Code::NoTarget, None),
         outcome: Outcome::NotRun,
     };
+    let answer = tokio::select! {
+        answer = drive(&mut course) => answer,
+        () = job.core.ending() => None,
+    };
+    match answer {
+        Some(answer) => answer,
+        None if job.core.ends() => course.break_off(),
+        None => course.give_up(),
+    }
+}
+
+/// Makes attempts until one decides the answer, or none is left to be made.
+async fn drive(course: &mut Course<'_>) -> Option<Response<Body>> {
+    let job = course.job;
     let mut running: FuturesUnordered<BoxFuture<'_, Ended>> = FuturesUnordered::new();
     let mut second = course.second_after();
     loop {
         if running.is_empty() {
-            match course.next().await {
-                Some(attempt) => running.push(attempt),
-                None => return course.give_up(),
-            }
+            let attempt = course.next().await?;
+            running.push(attempt);
         }
         let wait = second.map(|at| at.saturating_duration_since(job.core.clock.now()));
         let ended = match wait {
@@ -128,13 +140,13 @@
             continue;
         };
         match course.take_up(&target, tried).await {
-            Next::Answer(response) => return response,
+            Next::Answer(response) => return Some(response),
             Next::Elsewhere if !running.is_empty() => {}
             Next::Elsewhere if course.refusals < MOST_REFUSALS && !job.over() => {}
             Next::Repeat if !running.is_empty() => {}
             Next::Repeat if course.may_send() && job.core.entry.may_repeat(job) => {}
             Next::Stop if !running.is_empty() => {}
-            _ => return course.give_up(),
+            _ => return None,
         }
     }
 }
@@ -191,7 +203,8 @@
     }
 
     fn least_busy(&mut self) -> Option<TargetView> {
-        let order = |t: &TargetView| (!t.near, t.total() / f64::from(t.slots.max(1)));
+        let now = self.job.core.clock.now();
+        let order = |t: &TargetView| (!t.near, t.total(now) / f64::from(t.slots.max(1)));
         let least = (0..self.busy.len())
             .min_by(|a, b| order(&self.busy[*a]).partial_cmp(&order(&self.busy[*b])).unwrap())?;
         Some(self.busy.swap_remove(least))
@@ -203,9 +216,16 @@
         self.tried.push(Arc::clone(&target.id));
         let (job, number) = (self.job, self.number);
         Box::pin(async move {
+            let begun = job.core.clock.now();
+            let (load, slots, near) = (target.total(begun), target.slots, target.near);
             let request = (&job.headers, body);
             let entry = &job.core.entry;
             let tried = entry.attempt(job, &target, number, wait, request).await;
+            let took = job.core.clock.now().saturating_duration_since(begun);
+            let (request, result) = (job.name.as_str(), tried.result());
+            let (id, node) = (&*target.id, &*target.vm.address);
+            let (wait_ms, took_ms) = (whole_millis(wait), whole_millis(took));
+            spdlog::info!("attempt", kv: { request, number, target = id, node, near, load, slots, wait_ms, result, took_ms });
             (target, tried)
         })
     }
@@ -243,7 +263,7 @@
         self.refusals += 1;
         match code {
             Code::TargetRefused => {
-                let may = self.may_send() && job.core.entry.may_repeat(job);
+                let may = self.may_send() && job.core.entry.may_go_elsewhere(job);
                 return if may { Next::Elsewhere } else { Next::Stop };
             }
             Code::Busy => self.busy.push(target.clone()),
@@ -268,6 +288,14 @@
         }
     }
 
+    /// Answers for a node that must end before the request does.
+    fn break_off(self) -> Response<Body> {
+        match self.sent {
+            0 => refuse(Code::Stopping, Outcome::NotRun, None),
+            _ => refuse(Code::AnswerLost, Outcome::Unknown, None),
+        }
+    }
+
     fn give_up(self) -> Response<Body> {
         let (code, due) = self.last;
         self.failed
@@ -294,7 +322,7 @@
     target: &TargetView,
     response: Response<Body>,
 ) -> Result<Response<Body>, Code> {
-    note_load(target, response.headers());
+    note_load(target, response.headers(), job.core.clock.now());
     let (mut parts, body) = response.into_parts();
     drop_prefix(&mut parts.headers, INTERNAL_PREFIX);
     drop_prefix(&mut parts.headers, PUBLIC_PREFIX);
--- a/src/proxy/dispatch.rs
+++ b/src/proxy/dispatch.rs
@@ -56,9 +56,16 @@
 
     /// Takes a repeat of an idempotent request from the budget, if there is one.
     pub(super) fn may_repeat(&self, job: &Job) -> bool {
-        if !job.idempotent || job.over() {
-            return false;
-        }
+        job.idempotent && !job.over() && self.spend(job)
+    }
+
+    /// Tells whether a request that a target refused to run may be sent to another one. Where the
+    /// budget counts over the fleet, it counts all that arrives at targets.
+    pub(super) fn may_go_elsewhere(&self, job: &Job) -> bool {
+        !job.over() && (job.matched.service.retry_slack == 0 || self.spend(job))
+    }
+
+    fn spend(&self, job: &Job) -> bool {
         let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
         let budget = budgets.get_mut(&job.matched.service.name);
         let may = budget.is_some_and(RetryBudget::spend);
@@ -82,7 +89,7 @@
             .iter()
             .map(|t| Candidate {
                 near: t.near,
-                load: t.total(),
+                load: t.total(now),
                 slots: f64::from(t.slots),
                 avoided: t.failing || paths.get(&t.vm.address).is_some_and(|p| p.avoided(now)),
                 cold: t.cold,
@@ -137,7 +144,7 @@
         let tried = if target.vm.address == core.address {
             let request = job.request(headers, body);
             let response = core.guard.serve(core, attempt, request).await;
-            note_load(target, response.headers());
+            note_load(target, response.headers(), core.clock.now());
             read_verdict(response, Tried::Local)
         } else {
             self.send(job, target, &attempt, headers, body).await
@@ -173,7 +180,7 @@
         match timeout(job.left(), link.send(request)).await {
             Ok(Ok(response)) => {
                 self.path(address, true, core.clock.now());
-                note_load(target, response.headers());
+                note_load(target, response.headers(), core.clock.now());
                 read_verdict(response, |response| Tried::Answer(response, attempt.id))
             }
             Ok(Err(error)) => {
@@ -234,10 +241,10 @@
 }
 
 /// Takes up how many requests run or wait at a target, as its guard says with each answer.
-pub(super) fn note_load(target: &TargetView, headers: &HeaderMap) {
+pub(super) fn note_load(target: &TargetView, headers: &HeaderMap, now: Instant) {
     let load = headers.get(LOAD_HEADER).and_then(|v| v.to_str().ok());
     if let Some(load) = load.and_then(|l| l.parse().ok()) {
-        target.load.reported.store(load, Relaxed);
+        target.load.report(load, now);
     }
 }
 
--- a/src/proxy/job.rs
+++ b/src/proxy/job.rs
@@ -47,6 +47,21 @@
     Broken(Code),
 }
 
+impl Tried {
+    /// Returns what came of the attempt, for logs.
+    pub(super) fn result(&self) -> &'static str {
+        match self {
+            Self::Answer(..) | Self::Local(_) => "answer",
+            Self::Refused(code, _) | Self::Broken(code) => code.name(),
+        }
+    }
+}
+
+/// Returns a duration in whole milliseconds, for logs.
+pub(super) fn whole_millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
 impl Job {
     pub(super) fn left(&self) -> Duration {
         self.deadline
