Evidence from exchanges that still run, in place of strikes

Cause: hang episodes last about 1.3 s, shorter than the 1.5 s after which a hanging order was counted, so that every order of an episode met it. Ruled out: failed calls, which name no target as worse than others. An outlook weighs each recent exchange by how much likelier its age or end is when the target fails; orders go elsewhere at a low weight, all requests at even odds. Attempts that a second one overtook count too.

--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -303,7 +303,8 @@
 
     /// Takes up that a target of this VM was ejected.
     pub fn ejected(&self, target: &str) {
-        spdlog::warn!("target ejected", kv: { target });
+        let evidence = self.gate.evidence(target, self.clock.now());
+        spdlog::warn!("target ejected", kv: { target, evidence });
         self.metrics.ejected(target);
         self.describe();
     }
--- a/src/node/tasks.rs
+++ b/src/node/tasks.rs
@@ -22,7 +22,7 @@
 const SETTLE_EVERY: Duration = Duration::from_millis(10);
 
 /// How often leases and ledgers are swept.
-const SWEEP_EVERY: Duration = Duration::from_millis(200);
+const SWEEP_EVERY: Duration = Duration::from_millis(100);
 
 /// How long a probe may take.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
--- a/src/policy/limit.rs
+++ b/src/policy/limit.rs
@@ -32,8 +32,10 @@
     Good(Duration),
     /// It said that it has too much to do.
     Shed,
-    /// It broke off or gave no answer in time.
+    /// It broke off.
     Failed,
+    /// It gave no answer in time.
+    Late,
     /// It answered with an error of its own.
     Erred,
     /// It could not be connected to.
@@ -114,7 +116,7 @@
             }
             Taken::Good(latency) => self.climb(latency),
             Taken::Shed => self.open = (self.open * BACKOFF).max(COLD_LIMIT),
-            Taken::Failed | Taken::Erred | Taken::Unreachable => {
+            Taken::Failed | Taken::Late | Taken::Erred | Taken::Unreachable => {
                 self.slow += 1;
                 self.open = (self.open * BACKOFF).max(COLD_LIMIT);
             }
--- a/src/proxy/answer.rs
+++ b/src/proxy/answer.rs
@@ -48,6 +48,8 @@
         Stopping,
         /// The guard is another incarnation than the attempt was meant for.
         OtherIncarnation,
+        /// The target may fail, so that what can't be repeated should rather go elsewhere.
+        Doubtful,
         /// The target's data centre is drained.
         Drained,
         /// The target is ejected.
@@ -96,6 +98,7 @@
             Self::Busy => "busy",
             Self::Stopping => "stopping",
             Self::OtherIncarnation => "other-incarnation",
+            Self::Doubtful => "doubtful",
             Self::Drained => "drained",
             Self::Ejected => "ejected",
             Self::TargetUnreachable => "target-unreachable",
@@ -139,6 +142,7 @@
                 | Self::Busy
                 | Self::Stopping
                 | Self::OtherIncarnation
+                | Self::Doubtful
                 | Self::Drained
                 | Self::Ejected
                 | Self::TargetUnreachable
@@ -150,7 +154,7 @@
     }
 }
 
-const ALL: [Code; 19] = [
+const ALL: [Code; 20] = [
     Code::NoRoute,
     Code::WrongKey,
     Code::RateSpent,
@@ -161,6 +165,7 @@
     Code::Busy,
     Code::Stopping,
     Code::OtherIncarnation,
+    Code::Doubtful,
     Code::Drained,
     Code::Ejected,
     Code::TargetUnreachable,
--- a/src/proxy/course.rs
+++ b/src/proxy/course.rs
@@ -204,7 +204,7 @@
 
     fn least_busy(&mut self) -> Option<TargetView> {
         let now = self.job.core.clock.now();
-        let order = |t: &TargetView| (!t.near, t.total(now) / f64::from(t.slots.max(1)));
+        let order = |t: &TargetView| (t.failing, !t.near, t.total(now) / f64::from(t.slots.max(1)));
         let least = (0..self.busy.len())
             .min_by(|a, b| order(&self.busy[*a]).partial_cmp(&order(&self.busy[*b])).unwrap())?;
         Some(self.busy.swap_remove(least))
@@ -267,6 +267,11 @@
                 return if may { Next::Elsewhere } else { Next::Stop };
             }
             Code::Busy => self.busy.push(target.clone()),
+            // It is asked again, and has to take the request, if all others refuse.
+            Code::Doubtful => self.busy.push(TargetView {
+                failing: true,
+                ..target.clone()
+            }),
             // It has waited its share of the time; what is left is too short for the work.
             Code::Overloaded if self.waited => {
                 self.sent -= 1;
--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -25,7 +25,7 @@
         answer::{CODE_HEADER, refuse},
         course::run,
         head::{clean, host_of, prove, wished_timeout},
-        job::Job,
+        job::{Job, whole_millis},
         payload::{Payload, hold},
     },
 };
@@ -50,7 +50,12 @@
             Ok(accepted) => accepted,
             Err(refused) => return finish(core, None, &name, *refused, begun),
         };
+        let waiting = Waiting {
+            job: &job,
+            answered: false,
+        };
         let response = run(&job, payload).await;
+        waiting.answered();
         finish(core, Some(&job), &name, response, begun)
     }
 
@@ -110,6 +115,31 @@
     }
 }
 
+/// A caller that waits for its answer; one that leaves before is logged.
+struct Waiting<'j> {
+    job: &'j Job,
+    answered: bool,
+}
+
+impl Waiting<'_> {
+    fn answered(mut self) {
+        self.answered = true;
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        if self.answered {
+            return;
+        }
+        let request = self.job.name.as_str();
+        let service = self.job.matched.service.name.as_str();
+        let now = self.job.core.clock.now();
+        let took_ms = whole_millis(now.saturating_duration_since(self.job.begun));
+        spdlog::info!("caller left", kv: { request, service, took_ms });
+    }
+}
+
 /// Finds the route of a request, and on keyed routes whose key came.
 ///
 /// A node whose configuration may be old refuses what it does not know without claiming that it does
@@ -180,7 +210,7 @@
     core.metrics
         .answered(service, organisation, code, response.status(), took);
     let status = response.status().as_u16();
-    let took_ms = u64::try_from(took.as_millis()).unwrap_or(u64::MAX);
+    let took_ms = whole_millis(took);
     let generation = core.view.load().index.generation;
     spdlog::info!("answered", kv: { request = name, service, organisation, code, status, took_ms, generation });
     response
--- a/src/proxy/gate.rs
+++ b/src/proxy/gate.rs
@@ -14,7 +14,7 @@
 use crate::{
     clock::SharedClock,
     fleet::codec::TargetRecord,
-    policy::{eject::Others, limit::Taken, queue::Rank},
+    policy::{eject::Others, limit::Taken, outlook::Class, queue::Rank},
     proxy::{
         Code,
         guarded::{Announcement, Guarded},
@@ -144,9 +144,9 @@
     /// Returns the records of all targets.
     #[must_use]
     pub fn records(&self, now: Instant) -> Vec<TargetRecord> {
-        let targets = self.lock();
+        let mut targets = self.lock();
         let mut records: Vec<TargetRecord> = targets
-            .values()
+            .values_mut()
             .filter(|t| now < t.lease)
             .map(|t| t.record_of(now))
             .collect();
@@ -163,6 +163,13 @@
             .sum()
     }
 
+    /// Returns the evidence that a target fails, for logs.
+    #[must_use]
+    pub fn evidence(&self, target: &str, now: Instant) -> f64 {
+        let mut targets = self.lock();
+        targets.get_mut(target).map_or(0.0, |t| t.evidence(now))
+    }
+
     /// Returns how many requests run or wait at a target.
     #[must_use]
     pub fn load(&self, target: &str) -> usize {
@@ -207,6 +214,9 @@
         if target.out(now) && !wish.floor {
             return Err(Code::Ejected);
         }
+        if wish.once && !wish.floor && target.doubtful(now) {
+            return Err(Code::Doubtful);
+        }
         target.configure(wish.connections, wish.cold_rate);
         if target.queue.is_empty() && target.has_room() && target.is_start_due(now) {
             target.let_in();
@@ -240,8 +250,9 @@
     }
 
     fn leave(self: &Arc<Self>, name: &str, ticket: u64) {
+        let now = self.clock.now();
         if let Some(target) = self.lock().get_mut(name) {
-            target.end(ticket);
+            target.end(ticket, now);
         }
         self.pump(name);
     }
@@ -275,10 +286,10 @@
         paced
     }
 
-    /// Takes up that the exchange of a permit begins; after `hangs_after` it counts as hanging.
-    pub fn begin(&self, permit: &Permit, hangs_after: Option<Duration>, now: Instant) {
+    /// Takes up that the exchange of a permit begins.
+    pub fn begin(&self, permit: &Permit, class: Option<Class>, now: Instant) {
         if let Some(target) = self.lock().get_mut(&permit.target) {
-            target.begin(permit.ticket, hangs_after, now);
+            target.begin(permit.ticket, class, now);
         }
     }
 
@@ -335,6 +346,8 @@
     pub connections: usize,
     /// Requests a second that a cold target bears; 0 when its service states none.
     pub cold_rate: f64,
+    /// Whether it must not run more than once.
+    pub once: bool,
     /// Whether the floor keeps the target in although it fails.
     pub floor: bool,
 }
--- a/src/proxy/guard.rs
+++ b/src/proxy/guard.rs
@@ -20,6 +20,7 @@
         attempt::{AttemptId, Ledger, Refusal, Resolution},
         eject::Others,
         limit::Taken,
+        outlook::Class,
     },
     proxy::{
         Code, Dialect, Outcome, RequestName,
@@ -43,9 +44,6 @@
 /// A request is not started with less time left than this.
 const LEAST_LEFT: Duration = Duration::from_millis(1);
 
-/// Share of a route's objective after which an exchange counts as hanging: the work that the
-/// objective allows for is done by then.
-const HANGS_AFTER: f64 = 0.6;
 
 value! {
     /// What an answer from a guard is.
@@ -269,6 +267,7 @@
         most: most as usize,
         connections: connections as usize,
         cold_rate: service.map_or(0.0, |s| s.cold_rate),
+        once: !attempt.idempotent,
         floor: attempt.floor,
     };
     core.gate
@@ -357,9 +356,12 @@
 ) -> Response<Body> {
     let core = Arc::clone(&ticket.core);
     let sent = core.clock.now();
-    let hangs_after = attempt.objective.mul_f64(HANGS_AFTER);
-    let hangs_after = (!hangs_after.is_zero()).then_some(hangs_after);
-    core.gate.begin(&permit, hangs_after, sent);
+    let class = Class {
+        objective: u64::try_from(attempt.objective.as_millis()).unwrap_or(u64::MAX),
+        idempotent: attempt.idempotent,
+    };
+    let class = (class.objective > 0).then_some(class);
+    core.gate.begin(&permit, class, sent);
     let named = core.dialect.echoed();
     let named = named.and_then(|name| request.headers().get(name).cloned());
     let left = deadline.saturating_duration_since(sent);
@@ -378,7 +380,7 @@
         }
         Err(_) => {
             note(&attempt, "no answer in time", latency, "");
-            record(&core, &attempt, &permit, Taken::Failed);
+            record(&core, &attempt, &permit, Taken::Late);
             return mark(
                 refuse(Code::Timeout, Outcome::Unknown, None),
                 Verdict::Broken,
@@ -427,7 +429,7 @@
                 note(&attempt, "broke off in its answer", latency, "");
                 record(core, &attempt, &permit, Taken::Failed);
             }
-            End::Dropped => {}
+            End::Dropped => note(&attempt, "was left by its caller", latency, ""),
         }
         drop(permit);
         drop(ticket);
--- a/src/proxy/guarded.rs
+++ b/src/proxy/guarded.rs
@@ -13,13 +13,16 @@
     policy::{
         eject::{Detector, Others},
         limit::{Limit, Taken},
+        outlook::{Class, Ending, Outlook},
         pace::Pace,
         queue::RankedQueue,
-        suspicion::{Sign, Suspicion},
     },
     proxy::{gate::Permit, target::Pool},
 };
 
+/// How long a target that could not be connected to gets no requests.
+const UNREACHABLE_FOR: Duration = Duration::from_millis(1_000);
+
 /// How late an announcement may arrive.
 const LATE_ANNOUNCEMENTS: Duration = Duration::from_secs(60);
 
@@ -56,12 +59,10 @@
 /// An exchange under way.
 struct Exchanging {
     begun: Instant,
-    /// Time after which it counts as hanging, where its route states an objective.
-    hangs_after: Option<Duration>,
+    /// Its class, where its route states an objective; the quick test judges it then.
+    class: Option<Class>,
     /// Whether the slow test has counted it as bad already, because it takes so long.
     overdue: bool,
-    /// Whether the quick test has counted it as hanging.
-    hanging: bool,
 }
 
 /// A target that this node guards.
@@ -73,7 +74,10 @@
     pace: Pace,
     cold_rate: f64,
     detector: Detector,
-    suspicion: Suspicion,
+    outlook: Outlook,
+    /// Whether the quick test has the target out, as it was last looked at.
+    was_out: bool,
+    unreachable_until: Option<Instant>,
     pub(super) running: usize,
     pub(super) connections: usize,
     exchanges: HashMap<u64, Exchanging>,
@@ -91,7 +95,9 @@
             pace: Pace::new(now),
             cold_rate: 0.0,
             detector: Detector::default(),
-            suspicion: Suspicion::new(now),
+            outlook: Outlook::default(),
+            was_out: false,
+            unreachable_until: None,
             running: 0,
             connections: usize::MAX,
             exchanges: HashMap::new(),
@@ -172,8 +178,14 @@
     }
 
     /// Tells whether the target is taken out.
-    pub(super) fn out(&self, now: Instant) -> bool {
-        self.detector.out() || self.suspicion.out(now)
+    pub(super) fn out(&mut self, now: Instant) -> bool {
+        let unreachable = self.unreachable_until.is_some_and(|until| now < until);
+        unreachable || self.detector.out() || self.outlook.out(now)
+    }
+
+    /// Tells whether requests that can't be repeated should rather go elsewhere.
+    pub(super) fn doubtful(&mut self, now: Instant) -> bool {
+        self.outlook.doubtful(now)
     }
 
     /// Tells whether a probe should decide about its return.
@@ -190,19 +202,24 @@
         }
     }
 
-    pub(super) fn begin(&mut self, ticket: u64, hangs_after: Option<Duration>, now: Instant) {
+    pub(super) fn begin(&mut self, ticket: u64, class: Option<Class>, now: Instant) {
         let exchange = Exchanging {
             begun: now,
-            hangs_after,
+            class,
             overdue: false,
-            hanging: false,
         };
         self.exchanges.insert(ticket, exchange);
+        if let Some(class) = class {
+            self.outlook.begin(ticket, class, now);
+        }
     }
 
-    pub(super) fn end(&mut self, ticket: u64) {
+    /// Takes up that a permit is given back; an exchange that was not recorded was abandoned.
+    pub(super) fn end(&mut self, ticket: u64, now: Instant) {
         self.running = self.running.saturating_sub(1);
-        self.exchanges.remove(&ticket);
+        if let Some(class) = self.exchanges.remove(&ticket).and_then(|e| e.class) {
+            self.outlook.end(ticket, class, Ending::Abandoned, now);
+        }
     }
 
     /// Takes up how the target took a request, and tells whether that takes it out.
@@ -214,35 +231,39 @@
         now: Instant,
     ) -> bool {
         self.limit.record(taken, others.latency);
+        if taken == Taken::Unreachable {
+            self.unreachable_until = Some(now + UNREACHABLE_FOR);
+        }
         let exchange = self.exchanges.remove(&ticket);
-        if let Some(sign) = quick_sign(taken, exchange.as_ref())
-            && self.suspicion.record(sign, now)
-        {
-            return true;
+        if let Some(class) = exchange.as_ref().and_then(|e| e.class) {
+            self.outlook.end(ticket, class, ending(taken), now);
+            return self.goes_out(now);
         }
-        if exchange.is_some_and(|e| e.overdue || e.hangs_after.is_some()) {
+        if exchange.is_some_and(|e| e.overdue) {
             return false;
         }
         let bad = match taken {
             Taken::Good(latency) => Detector::slow(latency, others),
             Taken::Shed => return false,
-            Taken::Failed | Taken::Unreachable | Taken::Erred => true,
+            Taken::Failed | Taken::Late | Taken::Unreachable | Taken::Erred => true,
         };
         self.detector.record(bad, others, now)
     }
 
+    /// Tells whether the quick test takes the target out now that it was in before.
+    fn goes_out(&mut self, now: Instant) -> bool {
+        let out = self.outlook.out(now);
+        let was_out = std::mem::replace(&mut self.was_out, out);
+        out && !was_out
+    }
+
     /// Counts exchanges that take far too long as bad before they end, and tells whether that takes
     /// the target out.
     pub(super) fn count_overdue(&mut self, others: Others, now: Instant) -> bool {
-        let mut out = false;
-        for exchange in self.exchanges.values_mut() {
+        let mut out = self.goes_out(now);
+        for exchange in self.exchanges.values_mut().filter(|e| e.class.is_none()) {
             let lasts = now.saturating_duration_since(exchange.begun);
-            if let Some(limit) = exchange.hangs_after {
-                if lasts >= limit && !exchange.hanging {
-                    exchange.hanging = true;
-                    out |= self.suspicion.record(Sign::Hangs, now);
-                }
-            } else if !exchange.overdue && Detector::slow(lasts, others) {
+            if !exchange.overdue && Detector::slow(lasts, others) {
                 exchange.overdue = true;
                 out |= self.detector.record(true, others, now);
             }
@@ -250,6 +271,11 @@
         out
     }
 
+    /// Returns the evidence of the quick test, for logs.
+    pub(super) fn evidence(&mut self, now: Instant) -> f64 {
+        self.outlook.evidence(now)
+    }
+
     /// Takes out all that wait, so that they go elsewhere.
     pub(super) fn take_waiting(&mut self, now: Instant) -> Vec<oneshot::Sender<Permit>> {
         let mut out = Vec::new();
@@ -261,7 +287,7 @@
         out
     }
 
-    fn state(&self, now: Instant) -> TargetState {
+    fn state(&mut self, now: Instant) -> TargetState {
         let cold = match self.cold_rate > 0.0 {
             true => self.cold(now),
             false => self.cold(now) || self.limit.cold(),
@@ -277,7 +303,7 @@
         }
     }
 
-    pub(super) fn record_of(&self, now: Instant) -> TargetRecord {
+    pub(super) fn record_of(&mut self, now: Instant) -> TargetRecord {
         let latency = self.limit.usual().as_millis();
         TargetRecord {
             id: self.said.id.clone(),
@@ -289,19 +315,13 @@
     }
 }
 
-/// Returns what an exchange shows to the quick test; nothing where its route states no objective.
-fn quick_sign(taken: Taken, exchange: Option<&Exchanging>) -> Option<Sign> {
-    if taken == Taken::Unreachable {
-        return Some(Sign::Unreachable);
-    }
-    let exchange = exchange.filter(|e| e.hangs_after.is_some())?;
+fn ending(taken: Taken) -> Ending {
     match taken {
-        Taken::Good(_) if exchange.hanging => Some(Sign::Recovered),
-        Taken::Good(_) => Some(Sign::Good),
-        Taken::Shed | Taken::Erred => Some(Sign::Failed),
-        Taken::Failed if exchange.hanging => None,
-        Taken::Failed => Some(Sign::Broke),
-        Taken::Unreachable => Some(Sign::Unreachable),
+        Taken::Good(_) => Ending::Good,
+        Taken::Erred => Ending::Erred,
+        Taken::Shed => Ending::Shed,
+        Taken::Failed => Ending::Broke,
+        Taken::Late | Taken::Unreachable => Ending::Abandoned,
     }
 }
 
