--- a/src/fleet/codec.rs
+++ b/src/fleet/codec.rs
@@ -55,16 +55,22 @@
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct DrawRequest {
+    /// Whose quota is drawn on; empty for the retry budget of a service.
     #[prost(string, tag = "1")]
     pub organisation: ::prost::alloc::string::String,
+    #[prost(string, tag = "2")]
+    pub service: ::prost::alloc::string::String,
+    /// Requests of the service that the sender took since it last asked.
+    #[prost(uint32, tag = "3")]
+    pub earned: u32,
+    /// Whether the extra attempt is made in any case, and is only to be counted.
+    #[prost(bool, tag = "4")]
+    pub forced: bool,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct DrawReply {
     #[prost(bool, tag = "1")]
     pub granted: bool,
-    /// Milliseconds until the next request is due, when this one was not granted.
-    #[prost(uint32, tag = "2")]
-    pub due_ms: u32,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct AttemptId {
@@ -550,7 +556,7 @@
             req.extensions_mut().insert(GrpcMethod::new("fleet.Fleet", "Members"));
             self.inner.unary(req, path, codec).await
         }
-        /// Draw asks the holder of a data centre's part of a quota for one request.
+        /// Draw asks the holder of a data centre's part of a quota, or of a retry budget, for one request.
         pub async fn draw(
             &mut self,
             request: impl tonic::IntoRequest<super::DrawRequest>,
@@ -609,7 +615,7 @@
             &self,
             request: tonic::Request<super::MembersRequest>,
         ) -> std::result::Result<tonic::Response<super::MembersReply>, tonic::Status>;
-        /// Draw asks the holder of a data centre's part of a quota for one request.
+        /// Draw asks the holder of a data centre's part of a quota, or of a retry budget, for one request.
         async fn draw(
             &self,
             request: tonic::Request<super::DrawRequest>,
--- a/src/node/service.rs
+++ b/src/node/service.rs
@@ -73,16 +73,24 @@
     }
 
     async fn draw(&self, request: Request<DrawRequest>) -> Result<Response<DrawReply>, Status> {
-        let name = request.into_inner().organisation;
+        let DrawRequest {
+            organisation,
+            service,
+            earned,
+            forced,
+        } = request.into_inner();
         let view = self.0.view.load_full();
-        let organisation = view.index.organisation(&name);
-        let organisation = organisation.ok_or_else(|| Status::not_found("organisation"))?;
-        let drawn = self.0.quota.grant(&self.0, organisation);
-        let due = drawn.err().unwrap_or_default();
-        Ok(Response::new(DrawReply {
-            granted: drawn.is_ok(),
-            due_ms: u32::try_from(due.as_millis()).unwrap_or(u32::MAX),
-        }))
+        let index = &view.index;
+        let granted = match organisation.is_empty() {
+            true => index
+                .service(&service)
+                .map(|s| self.0.entry.repeats.take(&self.0, s, earned, forced)),
+            false => index
+                .organisation(&organisation)
+                .map(|o| self.0.quota.grant(&self.0, o)),
+        };
+        let granted = granted.ok_or_else(|| Status::not_found("unknown here"))?;
+        Ok(Response::new(DrawReply { granted }))
     }
 
     async fn status(&self, _: Request<StatusRequest>) -> Result<Response<StatusReply>, Status> {
--- a/src/policy/budget.rs
+++ b/src/policy/budget.rs
@@ -22,6 +22,11 @@
         self.saved = (self.saved + share).min(most.max(1.0));
     }
 
+    /// Counts an extra attempt that is made in any case; later ones make up for it.
+    pub fn force(&mut self) {
+        self.saved -= 1.0;
+    }
+
     /// Takes one extra attempt, if there is one.
     #[must_use]
     pub fn spend(&mut self) -> bool {
--- a/src/policy/share.rs
+++ b/src/policy/share.rs
@@ -3,7 +3,7 @@
 //!
 //! docs/decisions/4-quota-by-data-centre.md weighs this against keepers.
 
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 /// Share of the excess that is handed out; the rest covers two nodes that both take themselves for
 /// the holder of a part for a moment.
@@ -60,18 +60,15 @@
         }
     }
 
-    /// Grants one request, or tells how long until the next one is due.
-    ///
-    /// # Errors
-    /// The time until then.
-    pub fn draw(&mut self, size: Size, now: Instant) -> Result<(), Duration> {
+    /// Grants one request, if one is left.
+    pub fn draw(&mut self, size: Size, now: Instant) -> bool {
         let passed = now.saturating_duration_since(self.at).as_secs_f64();
         self.at = self.at.max(now);
         self.tokens = (self.tokens + passed * size.rate).min(size.burst);
-        if self.tokens >= 1.0 {
+        let granted = self.tokens >= 1.0;
+        if granted {
             self.tokens -= 1.0;
-            return Ok(());
         }
-        Err(Duration::from_secs_f64((1.0 - self.tokens) / size.rate))
+        granted
     }
 }
--- a/src/proxy/attempt.rs
+++ b/src/proxy/attempt.rs
@@ -24,6 +24,7 @@
 const LEFT: HeaderName = HeaderName::from_static("mjd-left-ms");
 const FLOOR: HeaderName = HeaderName::from_static("mjd-floor");
 const SAFE: HeaderName = HeaderName::from_static("mjd-idempotent");
+const REPEAT: HeaderName = HeaderName::from_static("mjd-repeat");
 const HOST: HeaderName = HeaderName::from_static("mjd-host");
 const REQUEST: HeaderName = HeaderName::from_static("mjd-request");
 const RANK: HeaderName = HeaderName::from_static("mjd-rank");
@@ -49,6 +50,8 @@
         pub floor: bool,
         /// Whether the request may run more than once.
         pub idempotent: bool,
+        /// Whether the request may have reached another target before.
+        pub repeat: bool,
         /// The host that the caller asked for.
         pub host: String,
         /// The request's name, for logs.
@@ -81,6 +84,7 @@
         put(headers, OBJECTIVE, &millis(self.objective));
         put(headers, FLOOR, flag(self.floor));
         put(headers, SAFE, flag(self.idempotent));
+        put(headers, REPEAT, flag(self.repeat));
         put(headers, HOST, &self.host);
         if let Some((organisation, key)) = &self.caller {
             put(headers, ORGANISATION, organisation);
@@ -103,6 +107,7 @@
             left: Duration::from_millis(number(headers, LEFT)?),
             floor: text(headers, FLOOR)? == flag(true),
             idempotent: text(headers, SAFE)? == flag(true),
+            repeat: text(headers, REPEAT)? == flag(true),
             host: text(headers, HOST)?,
             request: text(headers, REQUEST)?,
             rank: read_rank(&text(headers, RANK)?).ok_or(HeaderError(RANK))?,
--- a/src/proxy/course.rs
+++ b/src/proxy/course.rs
@@ -40,6 +40,10 @@
 /// work itself.
 const WAIT_SHARE: f64 = 0.6;
 
+/// Share of a route's objective that a request waits for a slot in its own data centre before it goes
+/// to another one: waits up to an eighth of the objective cost users nothing.
+const NEAR_WAIT_SHARE: f64 = 0.125;
+
 /// Share of a route's objective after which an idempotent request is tried a second time beside the
 /// first: an answer that takes half of it can still come in time from elsewhere.
 const SECOND_AFTER: f64 = 0.5;
@@ -60,8 +64,10 @@
     /// Attempts that may have reached a target.
     sent: u32,
     refusals: u32,
-    /// Whether a target was asked to keep the request waiting.
+    /// Whether a target was asked to keep the request waiting as long as it may.
     waited: bool,
+    /// Whether one of this data centre was asked to keep it waiting for a moment.
+    near_waited: bool,
     patient_until: Instant,
     /// A target's own error, which is passed on if nobody else does better.
     failed: Option<Response<Body>>,
@@ -81,7 +87,7 @@
 
 /// Runs a request to its answer, or to the end of the node.
 pub(super) async fn run(job: &Job, payload: Payload) -> Response<Body> {
-    job.core.entry.earn(job);
+    job.core.entry.repeats.earn(&job.matched.service);
     let mut course = Course {
         job,
         payload,
@@ -91,6 +97,7 @@
         sent: 0,
         refusals: 0,
         waited: false,
+        near_waited: false,
         patient_until: job.core.clock.now() + KEEPER_PATIENCE,
         failed: None,
         last: (Code::NoTarget, None),
@@ -125,7 +132,7 @@
                 Err(_) => {
                     second = None;
                     if course.may_send()
-                        && job.core.entry.may_repeat(job)
+                        && job.core.entry.may_repeat(job).await
                         && let Some(attempt) = course.beside()
                     {
                         let request = job.name.as_str();
@@ -141,10 +148,11 @@
         };
         match course.take_up(&target, tried).await {
             Next::Answer(response) => return Some(response),
-            Next::Elsewhere if !running.is_empty() => {}
+            // What was to run beside another attempt runs elsewhere, if there is a free slot.
+            Next::Elsewhere if !running.is_empty() => running.extend(course.beside()),
             Next::Elsewhere if course.refusals < MOST_REFUSALS && !job.over() => {}
             Next::Repeat if !running.is_empty() => {}
-            Next::Repeat if course.may_send() && job.core.entry.may_repeat(job) => {}
+            Next::Repeat if course.may_send() && job.core.entry.may_repeat(job).await => {}
             Next::Stop if !running.is_empty() => {}
             _ => return None,
         }
@@ -167,11 +175,14 @@
     async fn next(&mut self) -> Option<BoxFuture<'j, Ended>> {
         let job = self.job;
         loop {
+            if let Some(attempt) = self.near() {
+                return Some(attempt);
+            }
             if let Some(attempt) = self.beside() {
                 return Some(attempt);
             }
             // All that are there have no free slot: the request waits at the one with least to do.
-            if let Some(target) = self.least_busy() {
+            if let Some(target) = self.least_busy(|_| true) {
                 self.waited = true;
                 let wait = self.longest_wait();
                 let body = self.payload.next()?;
@@ -186,9 +197,35 @@
         }
     }
 
-    /// Returns an attempt at a target that has a free slot, as far as is known.
+    /// Returns an attempt in this data centre: at a target that has a free slot, as far as is known,
+    /// or else, once, at one that will have one soon. Bytes between data centres are dear, and a wait
+    /// that still meets the objective costs nothing.
+    fn near(&mut self) -> Option<BoxFuture<'j, Ended>> {
+        let job = self.job;
+        if let Some(target) = job.core.entry.choose(job, &self.tried, true) {
+            return self.ask(target);
+        }
+        let wait = job.objective().mul_f64(NEAR_WAIT_SHARE);
+        if self.near_waited || wait.is_zero() {
+            return None;
+        }
+        let target = self.least_busy(|t| t.near && !t.failing)?;
+        self.near_waited = true;
+        let body = self.payload.next()?;
+        Some(self.start(target, wait, body))
+    }
+
+    /// Returns an attempt at a target that has a free slot, as far as is known, those of this data
+    /// centre first.
     fn beside(&mut self) -> Option<BoxFuture<'j, Ended>> {
-        let target = self.job.core.entry.choose(self.job, &self.tried)?;
+        let (job, entry) = (self.job, &self.job.core.entry);
+        let target = entry
+            .choose(job, &self.tried, true)
+            .or_else(|| entry.choose(job, &self.tried, false))?;
+        self.ask(target)
+    }
+
+    fn ask(&mut self, target: TargetView) -> Option<BoxFuture<'j, Ended>> {
         // A body that can be sent once waits where it arrives first.
         let wait = match self.payload.is_held() {
             true => Duration::ZERO,
@@ -202,15 +239,18 @@
         self.job.left().mul_f64(WAIT_SHARE)
     }
 
-    fn least_busy(&mut self) -> Option<TargetView> {
+    /// Takes the target with least to do of those that had no free slot and fit.
+    fn least_busy(&mut self, fits: impl Fn(&TargetView) -> bool) -> Option<TargetView> {
         let now = self.job.core.clock.now();
         let order = |t: &TargetView| (t.failing, !t.near, t.total(now) / f64::from(t.slots.max(1)));
         let least = (0..self.busy.len())
+            .filter(|i| fits(&self.busy[*i]))
             .min_by(|a, b| order(&self.busy[*a]).partial_cmp(&order(&self.busy[*b])).unwrap())?;
         Some(self.busy.swap_remove(least))
     }
 
     fn start(&mut self, target: TargetView, wait: Duration, body: Body) -> BoxFuture<'j, Ended> {
+        let repeat = self.sent > 0;
         self.number += 1;
         self.sent += 1;
         self.tried.push(Arc::clone(&target.id));
@@ -220,7 +260,9 @@
             let (load, slots, near) = (target.total(begun), target.slots, target.near);
             let request = (&job.headers, body);
             let entry = &job.core.entry;
-            let tried = entry.attempt(job, &target, number, wait, request).await;
+            let tried = entry
+                .attempt(job, &target, (number, repeat), wait, request)
+                .await;
             let took = job.core.clock.now().saturating_duration_since(begun);
             let (request, result) = (job.name.as_str(), tried.result());
             let (id, node) = (&*target.id, &*target.vm.address);
@@ -263,7 +305,7 @@
         self.refusals += 1;
         match code {
             Code::TargetRefused => {
-                let may = self.may_send() && job.core.entry.may_go_elsewhere(job);
+                let may = self.may_send() && job.core.entry.may_go_elsewhere(job).await;
                 return if may { Next::Elsewhere } else { Next::Stop };
             }
             Code::Busy => self.busy.push(target.clone()),
@@ -272,8 +314,9 @@
                 failing: true,
                 ..target.clone()
             }),
+            Code::Overloaded if !self.waited => self.busy.push(target.clone()),
             // It has waited its share of the time; what is left is too short for the work.
-            Code::Overloaded if self.waited => {
+            Code::Overloaded => {
                 self.sent -= 1;
                 return Next::Stop;
             }
--- a/src/proxy/dispatch.rs
+++ b/src/proxy/dispatch.rs
@@ -14,7 +14,6 @@
     fleet::{Body, LinkError, codec::Resolution},
     policy::{
         attempt::AttemptId,
-        budget::{MOST_SAVED, RetryBudget},
         pick::{Candidate, pick},
     },
     proxy::{
@@ -40,50 +39,43 @@
 }
 
 impl Entry {
-    /// Takes up that a request of a caller earns its share of a later repeat.
-    pub(super) fn earn(&self, job: &Job) {
-        let service = &job.matched.service;
-        let most = match service.retry_slack {
-            0 => MOST_SAVED,
-            slack => f64::from(slack) / f64::from(job.core.view.load().nodes.max(1)),
-        };
-        let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
-        budgets
-            .entry(service.name.clone())
-            .or_insert_with(|| RetryBudget::new(most))
-            .earn(service.retry_share, most);
-    }
-
     /// Takes a repeat of an idempotent request from the budget, if there is one.
-    pub(super) fn may_repeat(&self, job: &Job) -> bool {
-        job.idempotent && !job.over() && self.spend(job)
+    pub(super) async fn may_repeat(&self, job: &Job) -> bool {
+        job.idempotent && !job.over() && self.spend(job).await
     }
 
     /// Tells whether a request that a target refused to run may be sent to another one. Where the
     /// budget counts over the fleet, it counts all that arrives at targets.
-    pub(super) fn may_go_elsewhere(&self, job: &Job) -> bool {
-        !job.over() && (job.matched.service.retry_slack == 0 || self.spend(job))
+    pub(super) async fn may_go_elsewhere(&self, job: &Job) -> bool {
+        !job.over() && (job.matched.service.retry_slack == 0 || self.spend(job).await)
     }
 
-    fn spend(&self, job: &Job) -> bool {
-        let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
-        let budget = budgets.get_mut(&job.matched.service.name);
-        let may = budget.is_some_and(RetryBudget::spend);
+    async fn spend(&self, job: &Job) -> bool {
+        let may = self.repeats.spend(&job.core, &job.matched.service).await;
         if !may {
-            spdlog::info!("retry budget spent", kv: { request = job.name.as_str() });
+            let (request, service) = (job.name.as_str(), job.matched.service.name.as_str());
+            spdlog::info!("retry budget spent", kv: { request, service });
         }
         may
     }
 
-    /// Chooses a target that was not tried yet.
-    pub(super) fn choose(&self, job: &Job, tried: &[Arc<str>]) -> Option<TargetView> {
+    /// Chooses a target that was not tried yet, within the data centre or anywhere.
+    pub(super) fn choose(
+        &self,
+        job: &Job,
+        tried: &[Arc<str>],
+        near_only: bool,
+    ) -> Option<TargetView> {
         let view = job.core.view.load();
         let now = job.core.clock.now();
         let targets = &view
             .services
             .get(job.matched.service.name.as_str())?
             .targets;
-        let open: Vec<&TargetView> = targets.iter().filter(|t| !tried.contains(&t.id)).collect();
+        let open: Vec<&TargetView> = targets
+            .iter()
+            .filter(|t| !tried.contains(&t.id) && (t.near || !near_only))
+            .collect();
         let paths = self.paths.lock().unwrap_or_else(PoisonError::into_inner);
         let candidates: Vec<Candidate> = open
             .iter()
@@ -114,7 +106,7 @@
         &self,
         job: &Job,
         target: &TargetView,
-        number: u32,
+        (number, repeat): (u32, bool),
         wait: Duration,
         (headers, body): (&HeaderMap, Body),
     ) -> Tried {
@@ -133,6 +125,7 @@
             left: job.left(),
             floor: target.failing,
             idempotent: job.idempotent,
+            repeat,
             host: job.host.clone(),
             request: job.name.clone(),
             rank: job.rank,
--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -12,14 +12,14 @@
 
 use http::{HeaderMap, HeaderValue, Request, Response, Version, header};
 use hyper::body::Incoming;
-use rand::rng;
+use rand::{Rng, rng};
 
 use crate::{
     board::View,
     config::{Access, Matched, Organisation},
     fleet::Body,
     node::Core,
-    policy::{budget::RetryBudget, path::Path, queue::Rank},
+    policy::{path::Path, queue::Rank},
     proxy::{
         Code, Outcome,
         answer::{CODE_HEADER, refuse},
@@ -27,6 +27,7 @@
         head::{clean, host_of, prove, wished_timeout},
         job::{Job, whole_millis},
         payload::{Payload, hold},
+        repeats::Repeats,
     },
 };
 
@@ -34,7 +35,8 @@
 #[derive(Default)]
 pub struct Entry {
     pub(super) sequence: AtomicU64,
-    pub(super) budgets: Mutex<HashMap<String, RetryBudget>>,
+    /// Retry budgets.
+    pub repeats: Repeats,
     pub(super) paths: Mutex<HashMap<Arc<str>, Path>>,
 }
 
@@ -84,8 +86,16 @@
         if let Some((organisation, _)) = &caller
             && core.feed.is_some()
         {
-            let drawn = core.quota.draw(core, organisation).await;
-            drawn.map_err(|due| Box::new(refuse(Code::RateSpent, Outcome::NotRun, due)))?;
+            if !core.quota.draw(core, organisation).await {
+                return Err(refused(Code::RateSpent));
+            }
+        }
+        // A call of this VM's target belongs to a request that runs there; which one, it does not say.
+        if matched.access() == Access::Open
+            && core.feed.is_some()
+            && rng().random_bool(core.gate.repeated_share())
+        {
+            self.repeats.force(core, &matched.service).await;
         }
         let limit = matched.timeout();
         let wished = wished_timeout(&core.dialect, &parts.headers).map_err(refused)?;
--- a/src/proxy/gate.rs
+++ b/src/proxy/gate.rs
@@ -170,6 +170,17 @@
         targets.get_mut(target).map_or(0.0, |t| t.evidence(now))
     }
 
+    /// Returns the share of running requests, at all targets, that may have reached another before.
+    #[must_use]
+    pub fn repeated_share(&self) -> f64 {
+        let targets = self.lock();
+        let counts = targets.values().map(Guarded::repeated);
+        let (all, repeated) = counts.fold((0, 0), |a, b| (a.0 + b.0, a.1 + b.1));
+        #[expect(clippy::cast_precision_loss, reason = "targets run few at once")]
+        let share = repeated as f64 / all.max(1) as f64;
+        share
+    }
+
     /// Returns how many requests run or wait at a target.
     #[must_use]
     pub fn load(&self, target: &str) -> usize {
@@ -287,9 +298,9 @@
     }
 
     /// Takes up that the exchange of a permit begins.
-    pub fn begin(&self, permit: &Permit, class: Option<Class>, now: Instant) {
+    pub fn begin(&self, permit: &Permit, class: Option<Class>, repeat: bool, now: Instant) {
         if let Some(target) = self.lock().get_mut(&permit.target) {
-            target.begin(permit.ticket, class, now);
+            target.begin(permit.ticket, class, repeat, now);
         }
     }
 
--- a/src/proxy/guard.rs
+++ b/src/proxy/guard.rs
@@ -361,7 +361,7 @@
         idempotent: attempt.idempotent,
     };
     let class = (class.objective > 0).then_some(class);
-    core.gate.begin(&permit, class, sent);
+    core.gate.begin(&permit, class, attempt.repeat, sent);
     let named = core.dialect.echoed();
     let named = named.and_then(|name| request.headers().get(name).cloned());
     let left = deadline.saturating_duration_since(sent);
--- a/src/proxy/guarded.rs
+++ b/src/proxy/guarded.rs
@@ -63,6 +63,8 @@
     class: Option<Class>,
     /// Whether the slow test has counted it as bad already, because it takes so long.
     overdue: bool,
+    /// Whether its request may have reached another target before.
+    repeat: bool,
 }
 
 /// A target that this node guards.
@@ -202,11 +204,12 @@
         }
     }
 
-    pub(super) fn begin(&mut self, ticket: u64, class: Option<Class>, now: Instant) {
+    pub(super) fn begin(&mut self, ticket: u64, class: Option<Class>, repeat: bool, now: Instant) {
         let exchange = Exchanging {
             begun: now,
             class,
             overdue: false,
+            repeat,
         };
         self.exchanges.insert(ticket, exchange);
         if let Some(class) = class {
@@ -214,6 +217,12 @@
         }
     }
 
+    /// Returns how many exchanges run, and how many of those are of repeated requests.
+    pub(super) fn repeated(&self) -> (usize, usize) {
+        let repeated = self.exchanges.values().filter(|e| e.repeat).count();
+        (self.exchanges.len(), repeated)
+    }
+
     /// Takes up that a permit is given back; an exchange that was not recorded was abandoned.
     pub(super) fn end(&mut self, ticket: u64, now: Instant) {
         self.running = self.running.saturating_sub(1);
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -14,6 +14,7 @@
 mod payload;
 mod quota;
 mod rates;
+mod repeats;
 mod resolve;
 mod resume;
 mod target;
--- a/src/proxy/quota.rs
+++ b/src/proxy/quota.rs
@@ -41,7 +41,7 @@
     core: &Core,
     organisation: &Organisation,
     count: u32,
-) -> Result<(), Duration> {
+) -> bool {
     let now = core.clock.now();
     let size = Size::of(
         organisation.rate,
@@ -68,56 +68,58 @@
     near
 }
 
-impl Quota {
-    /// Draws one request of an organisation.
-    ///
-    /// # Errors
-    /// The time until the next one is due, where that is known.
-    pub async fn draw(
-        &self,
-        core: &Core,
-        organisation: &Organisation,
-    ) -> Result<(), Option<Duration>> {
-        if organisation.rate <= 0.0 {
-            return Ok(());
+/// Asks the nodes of the data centre that should hold something, in order, until one answers; `own`
+/// answers for this node. Returns nothing when nobody does.
+pub(super) async fn draw_near(
+    core: &Core,
+    key: &str,
+    request: &DrawRequest,
+    own: impl Fn() -> bool,
+) -> Option<bool> {
+    for holder in holders(core, key).iter().take(MOST_ASKED) {
+        if holder.address == core.address {
+            return Some(own());
         }
-        for holder in holders(core, &organisation.name).iter().take(MOST_ASKED) {
-            if holder.address == core.address {
-                return self.grant(core, organisation).map_err(Some);
-            }
-            let asked = timeout(ASK_TIMEOUT, ask(core, holder, &organisation.name)).await;
-            match asked.ok().flatten() {
-                Some(reply) if reply.granted => return Ok(()),
-                Some(reply) => {
-                    let due = Duration::from_millis(u64::from(reply.due_ms));
-                    return Err(Some(due));
-                }
-                None => {
-                    let (organisation, holder) = (organisation.name.as_str(), &*holder.address);
-                    spdlog::warn!("quota holder does not answer", kv: { organisation, holder });
-                }
+        let asked = timeout(ASK_TIMEOUT, ask(core, holder, request.clone())).await;
+        match asked.ok().flatten() {
+            Some(reply) => return Some(reply.granted),
+            None => {
+                let holder = &*holder.address;
+                spdlog::warn!("holder does not answer", kv: { key, holder });
             }
         }
-        let nodes = core.view.load().nodes;
-        draw_from(&self.own, core, organisation, nodes).map_err(Some)
     }
+    None
+}
 
-    /// Grants one request from the part that this node holds for its data centre.
-    ///
-    /// # Errors
-    /// The time until the next one is due.
-    pub fn grant(&self, core: &Core, organisation: &Organisation) -> Result<(), Duration> {
+impl Quota {
+    /// Draws one request of an organisation, and tells whether it is granted.
+    pub async fn draw(&self, core: &Core, organisation: &Organisation) -> bool {
+        if organisation.rate <= 0.0 {
+            return true;
+        }
+        let request = DrawRequest {
+            organisation: organisation.name.clone(),
+            ..DrawRequest::default()
+        };
+        let own = || self.grant(core, organisation);
+        let drawn = draw_near(core, &organisation.name, &request, own).await;
+        drawn.unwrap_or_else(|| {
+            let nodes = core.view.load().nodes;
+            draw_from(&self.own, core, organisation, nodes)
+        })
+    }
+
+    /// Grants one request from the part that this node holds for its data centre, if one is left.
+    pub fn grant(&self, core: &Core, organisation: &Organisation) -> bool {
         let centres = core.settings.data_centres.len().max(1);
         let centres = u32::try_from(centres).unwrap_or(u32::MAX);
         draw_from(&self.held, core, organisation, centres)
     }
 }
 
-async fn ask(core: &Core, holder: &VmView, organisation: &str) -> Option<DrawReply> {
+async fn ask(core: &Core, holder: &VmView, request: DrawRequest) -> Option<DrawReply> {
     let link = core.links.get(&holder.address).await.ok()?;
-    let request = DrawRequest {
-        organisation: organisation.to_owned(),
-    };
     let reply = link.client(&holder.address).draw(request).await.ok()?;
     Some(reply.into_inner())
 }
--- /dev/null
+++ b/src/proxy/repeats.rs
@@ -0,0 +1,95 @@
+//! Retry budgets: at each node, or, where the configuration bounds extra attempts over the whole fleet,
+//! in one part for each data centre.
+//!
+//! A part is held like that of a quota. Nodes tell its holder how many requests they took when they
+//! ask, so that what one node does not need is there for another that meets a failing target.
+
+use std::{
+    collections::HashMap,
+    sync::{Mutex, MutexGuard, PoisonError},
+};
+
+use crate::{
+    config::Service,
+    fleet::codec::DrawRequest,
+    node::Core,
+    policy::budget::{MOST_SAVED, RetryBudget},
+    proxy::quota::draw_near,
+};
+
+/// Share of the extra attempts that the fleet may save up which is handed out; the rest covers
+/// holders that change.
+const USED_SLACK: f64 = 0.7;
+
+/// Share of what requests earn which is handed out: their holder hears of them late.
+const USED_SHARE: f64 = 0.85;
+
+/// The retry budgets of a node.
+#[derive(Default)]
+pub struct Repeats {
+    /// Requests of each service since the holder was last told.
+    earned: Mutex<HashMap<String, u32>>,
+    /// Budgets, or parts of them that this node holds for its data centre.
+    held: Mutex<HashMap<String, RetryBudget>>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Repeats {
+    /// Takes up that a request of a caller earns its share of a later repeat.
+    pub fn earn(&self, service: &Service) {
+        *lock(&self.earned).entry(service.name.clone()).or_default() += 1;
+    }
+
+    /// Takes one extra attempt from the budget, and tells whether there was one.
+    pub async fn spend(&self, core: &Core, service: &Service) -> bool {
+        self.draw(core, service, false).await
+    }
+
+    /// Counts an extra attempt that is made in any case: a call of a target that runs a request again.
+    pub async fn force(&self, core: &Core, service: &Service) {
+        self.draw(core, service, true).await;
+    }
+
+    async fn draw(&self, core: &Core, service: &Service, forced: bool) -> bool {
+        let earned = lock(&self.earned).remove(&service.name).unwrap_or_default();
+        let own = || self.take(core, service, earned, forced);
+        if service.retry_slack == 0 {
+            return own();
+        }
+        let request = DrawRequest {
+            organisation: String::new(),
+            service: service.name.clone(),
+            earned,
+            forced,
+        };
+        let key = format!("retries of {}", service.name);
+        let drawn = draw_near(core, &key, &request, own).await;
+        drawn.unwrap_or_else(own)
+    }
+
+    /// Takes one extra attempt from what this node holds, after adding what requests have earned.
+    pub fn take(&self, core: &Core, service: &Service, earned: u32, forced: bool) -> bool {
+        let (share, most) = match service.retry_slack {
+            0 => (service.retry_share, MOST_SAVED),
+            slack => {
+                let parts = core.settings.data_centres.len().max(1);
+                #[expect(clippy::cast_precision_loss, reason = "data centres are few")]
+                let most = f64::from(slack) * USED_SLACK / parts as f64;
+                (service.retry_share * USED_SHARE, most)
+            }
+        };
+        let mut held = lock(&self.held);
+        let budget = held
+            .entry(service.name.clone())
+            .or_insert_with(|| RetryBudget::new(most));
+        budget.earn(share * f64::from(earned), most);
+        if forced {
+            budget.force();
+            return true;
+        }
+        budget.spend()
+    }
+}
--- a/src/proxy/resume.rs
+++ b/src/proxy/resume.rs
@@ -74,10 +74,10 @@
 
 /// Asks another target for the rest, and makes sure that it is the rest of the same answer.
 async fn next_part(progress: &mut Progress) -> Option<Body> {
-    while progress.left > 0 && progress.job.core.entry.may_repeat(&progress.job) {
+    while progress.left > 0 && progress.job.core.entry.may_repeat(&progress.job).await {
         progress.left -= 1;
         let job = progress.job.again();
-        let target = job.core.entry.choose(&job, &progress.tried)?;
+        let target = job.core.entry.choose(&job, &progress.tried, false)?;
         progress.tried.push(Arc::clone(&target.id));
         let mut headers = job.headers.clone();
         let range = HeaderValue::from_str(&format!("bytes={}-", progress.sent)).ok()?;
@@ -86,7 +86,7 @@
         let tried = job
             .core
             .entry
-            .attempt(&job, &target, 1, job.left(), (&headers, empty()))
+            .attempt(&job, &target, (1, true), job.left(), (&headers, empty()))
             .await;
         let response = match tried {
             Tried::Answer(response, _) => response.map(box_body),
