--- a/src/fleet/codec.rs
+++ b/src/fleet/codec.rs
@@ -66,6 +66,9 @@
     /// Whether the extra attempt is made in any case, and is only to be counted.
     #[prost(bool, tag = "4")]
     pub forced: bool,
+    /// Whether it is a call of a target, which may use up the budget.
+    #[prost(bool, tag = "5")]
+    pub urgent: bool,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct DrawReply {
--- a/src/node/listen.rs
+++ b/src/node/listen.rs
@@ -11,7 +11,7 @@
 use subtle::ConstantTimeEq;
 use tokio::{
     net::{TcpListener, TcpSocket, TcpStream},
-    sync::watch,
+    sync::watch::Receiver,
     time::sleep,
 };
 use tower_service::Service as _;
@@ -19,7 +19,11 @@
 use crate::{
     error::Error,
     fleet::{Body, TOKEN_HEADER, box_body, codec::fleet_server::FleetServer, empty},
-    node::{Core, service::Service},
+    node::{
+        Core,
+        service::Service,
+        stream::watch,
+    },
     proxy::{ATTEMPT_HEADER, Attempt},
 };
 
@@ -94,7 +98,7 @@
 }
 
 /// Serves callers, once the node is ready, until told to stop; their connections end in order.
-pub async fn serve_callers(core: Arc<Core>, socket: TcpSocket, stop: watch::Receiver<bool>) {
+pub async fn serve_callers(core: Arc<Core>, socket: TcpSocket, stop: Receiver<bool>) {
     while !core.ready() {
         sleep(READY_EVERY).await;
     }
@@ -116,20 +120,24 @@
     }
 }
 
-async fn stopped(mut stop: watch::Receiver<bool>) {
+async fn stopped(mut stop: Receiver<bool>) {
     // A closed channel means that the node ends.
     let _ = stop.wait_for(|stop| *stop).await;
 }
 
-async fn serve_caller(core: Arc<Core>, stream: TcpStream, stop: watch::Receiver<bool>) {
+async fn serve_caller(core: Arc<Core>, stream: TcpStream, stop: Receiver<bool>) {
     let idle = core.settings.idle;
     let http2 = core.dialect.http2;
+    let (stream, presence) = watch(stream);
     let service = service_fn(move |request: Request<Incoming>| {
-        let core = Arc::clone(&core);
+        let (core, presence) = (Arc::clone(&core), presence.clone());
         async move {
             let busy = core.busy();
-            let response = core.entry.serve(&core, request).await;
-            Ok::<_, Infallible>(response.map(|body| hold_busy(body, busy)))
+            let response = tokio::select! {
+                response = core.entry.serve(&core, request) => response,
+                () = presence.left() => return Err(io::Error::from(io::ErrorKind::ConnectionAborted)),
+            };
+            Ok::<_, io::Error>(response.map(|body| hold_busy(body, busy)))
         }
     });
     let mut builder = auto::Builder::new(TokioExecutor::new());
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -8,6 +8,7 @@
 mod register;
 mod serve;
 mod service;
+mod stream;
 mod tasks;
 
 use std::{
--- a/src/node/service.rs
+++ b/src/node/service.rs
@@ -20,6 +20,7 @@
         attempt::{AttemptId, Resolution},
         roster::quorum,
     },
+    proxy::Purpose,
 };
 
 /// How long a guard is waited for when another node asks through this one.
@@ -78,13 +79,19 @@
             service,
             earned,
             forced,
+            urgent,
         } = request.into_inner();
         let view = self.0.view.load_full();
         let index = &view.index;
+        let purpose = match (forced, urgent) {
+            (true, _) => Purpose::Forced,
+            (false, true) => Purpose::Call,
+            (false, false) => Purpose::Request,
+        };
         let granted = match organisation.is_empty() {
             true => index
                 .service(&service)
-                .map(|s| self.0.entry.repeats.take(&self.0, s, earned, forced)),
+                .map(|s| self.0.entry.repeats.take(&self.0, s, earned, purpose)),
             false => index
                 .organisation(&organisation)
                 .map(|o| self.0.quota.grant(&self.0, o)),
--- /dev/null
+++ b/src/node/stream.rs
@@ -0,0 +1,93 @@
+//! A caller's connection that tells when the caller has left.
+//!
+//! The HTTP library looks for the end of a connection only while it has read nothing beyond the request
+//! that runs. A caller that has sent several requests and leaves would go unnoticed until all of them
+//! have run.
+
+use std::{
+    io,
+    pin::Pin,
+    sync::Arc,
+    task::{Context, Poll, ready},
+    time::Duration,
+};
+
+use tokio::{
+    io::{AsyncRead, AsyncWrite, Interest, ReadBuf},
+    net::TcpStream,
+    time::sleep,
+};
+
+/// How often a connection with unread bytes is looked at: a caller that left is to be noticed within
+/// half a second.
+const LOOK_EVERY: Duration = Duration::from_millis(150);
+
+/// A caller's connection, to be read and written by the HTTP library.
+pub struct CallerStream(Arc<TcpStream>);
+
+/// Tells when the caller at the other end has left.
+#[derive(Clone)]
+pub struct Presence(Arc<TcpStream>);
+
+/// Splits a connection into what is read and written, and what tells when it ends.
+pub fn watch(stream: TcpStream) -> (CallerStream, Presence) {
+    let stream = Arc::new(stream);
+    (CallerStream(Arc::clone(&stream)), Presence(stream))
+}
+
+impl Presence {
+    /// Waits until the caller has left.
+    pub async fn left(&self) {
+        while let Ok(ready) = self.0.ready(Interest::READABLE).await {
+            if ready.is_read_closed() {
+                return;
+            }
+            sleep(LOOK_EVERY).await;
+        }
+    }
+}
+
+impl AsyncRead for CallerStream {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        loop {
+            ready!(self.0.poll_read_ready(cx))?;
+            match self.0.try_read(buffer.initialize_unfilled()) {
+                Ok(read) => {
+                    buffer.advance(read);
+                    return Poll::Ready(Ok(()));
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) => return Poll::Ready(Err(error)),
+            }
+        }
+    }
+}
+
+impl AsyncWrite for CallerStream {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.0.poll_write_ready(cx))?;
+            match self.0.try_write(bytes) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                written => return Poll::Ready(written),
+            }
+        }
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let socket = socket2::SockRef::from(&*self.0);
+        Poll::Ready(socket.shutdown(std::net::Shutdown::Write))
+    }
+}
--- a/src/policy/budget.rs
+++ b/src/policy/budget.rs
@@ -27,10 +27,10 @@
         self.saved -= 1.0;
     }
 
-    /// Takes one extra attempt, if there is one.
+    /// Takes one extra attempt, if there is one; `spared` are left for more urgent ones.
     #[must_use]
-    pub fn spend(&mut self) -> bool {
-        let enough = self.saved >= 1.0;
+    pub fn spend(&mut self, spared: f64) -> bool {
+        let enough = self.saved >= 1.0 + spared;
         if enough {
             self.saved -= 1.0;
         }
--- a/src/policy/outlook.rs
+++ b/src/policy/outlook.rs
@@ -45,7 +45,7 @@
 /// Evidence at which a target gets no requests: about even odds, when one in twenty targets fails.
 const OUT: f64 = 2.9;
 
-/// Evidence at which a target gets no requests that can't be repeated, while others have less.
+/// Evidence at which a target gets no requests that need care, while others have less.
 const DOUBTFUL: f64 = 0.8;
 
 /// Weight of one exchange in the time of its class.
@@ -159,8 +159,8 @@
         self.evidence(now) >= OUT
     }
 
-    /// Tells whether the target gets no requests that can't be repeated, while others have less
-    /// evidence against them.
+    /// Tells whether the target gets no requests that need care, while others have less evidence
+    /// against them.
     pub fn doubtful(&mut self, now: Instant) -> bool {
         self.evidence(now) >= DOUBTFUL
     }
--- a/src/proxy/answer.rs
+++ b/src/proxy/answer.rs
@@ -48,7 +48,7 @@
         Stopping,
         /// The guard is another incarnation than the attempt was meant for.
         OtherIncarnation,
-        /// The target may fail, so that what can't be repeated should rather go elsewhere.
+        /// The target may fail, so that what needs care should rather go elsewhere.
         Doubtful,
         /// The target's data centre is drained.
         Drained,
--- a/src/proxy/course.rs
+++ b/src/proxy/course.rs
@@ -305,7 +305,9 @@
         self.refusals += 1;
         match code {
             Code::TargetRefused => {
-                let may = self.may_send() && job.core.entry.may_go_elsewhere(job).await;
+                // It has not run there, so that it may run at as many targets as before.
+                self.sent -= 1;
+                let may = job.core.entry.may_go_elsewhere(job).await;
                 return if may { Next::Elsewhere } else { Next::Stop };
             }
             Code::Busy => self.busy.push(target.clone()),
--- a/src/proxy/dispatch.rs
+++ b/src/proxy/dispatch.rs
@@ -17,7 +17,7 @@
         pick::{Candidate, pick},
     },
     proxy::{
-        Code, Entry,
+        Code, Entry, Purpose,
         answer::CODE_HEADER,
         attempt::{ATTEMPT_HEADER, Attempt},
         guard::{LOAD_HEADER, VERDICT_HEADER},
@@ -51,7 +51,12 @@
     }
 
     async fn spend(&self, job: &Job) -> bool {
-        let may = self.repeats.spend(&job.core, &job.matched.service).await;
+        let purpose = match job.rank.outside {
+            true => Purpose::Request,
+            false => Purpose::Call,
+        };
+        let service = &job.matched.service;
+        let may = self.repeats.spend(&job.core, service, purpose).await;
         if !may {
             let (request, service) = (job.name.as_str(), job.matched.service.name.as_str());
             spdlog::info!("retry budget spent", kv: { request, service });
--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -21,7 +21,7 @@
     node::Core,
     policy::{path::Path, queue::Rank},
     proxy::{
-        Code, Outcome,
+        Code, Outcome, Purpose,
         answer::{CODE_HEADER, refuse},
         course::run,
         head::{clean, host_of, prove, wished_timeout},
@@ -95,7 +95,8 @@
             && core.feed.is_some()
             && rng().random_bool(core.gate.repeated_share())
         {
-            self.repeats.force(core, &matched.service).await;
+            let service = &matched.service;
+            self.repeats.spend(core, service, Purpose::Forced).await;
         }
         let limit = matched.timeout();
         let wished = wished_timeout(&core.dialect, &parts.headers).map_err(refused)?;
--- a/src/proxy/gate.rs
+++ b/src/proxy/gate.rs
@@ -225,7 +225,7 @@
         if target.out(now) && !wish.floor {
             return Err(Code::Ejected);
         }
-        if wish.once && !wish.floor && target.doubtful(now) {
+        if wish.careful && !wish.floor && target.doubtful(now) {
             return Err(Code::Doubtful);
         }
         target.configure(wish.connections, wish.cold_rate);
@@ -357,8 +357,8 @@
     pub connections: usize,
     /// Requests a second that a cold target bears; 0 when its service states none.
     pub cold_rate: f64,
-    /// Whether it must not run more than once.
-    pub once: bool,
+    /// Whether it should rather run where nothing speaks against the target.
+    pub careful: bool,
     /// Whether the floor keeps the target in although it fails.
     pub floor: bool,
 }
--- a/src/proxy/guard.rs
+++ b/src/proxy/guard.rs
@@ -267,7 +267,9 @@
         most: most as usize,
         connections: connections as usize,
         cold_rate: service.map_or(0.0, |s| s.cold_rate),
-        once: !attempt.idempotent,
+        // What can't be repeated (again), or holds up a request that waits for it, goes where nothing
+        // speaks against the target.
+        careful: !attempt.idempotent || attempt.repeat || !attempt.rank.outside,
         floor: attempt.floor,
     };
     core.gate
--- a/src/proxy/guarded.rs
+++ b/src/proxy/guarded.rs
@@ -185,7 +185,7 @@
         unreachable || self.detector.out() || self.outlook.out(now)
     }
 
-    /// Tells whether requests that can't be repeated should rather go elsewhere.
+    /// Tells whether requests that need care should rather go elsewhere.
     pub(super) fn doubtful(&mut self, now: Instant) -> bool {
         self.outlook.doubtful(now)
     }
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -30,5 +30,6 @@
     guarded::Announcement,
     quota::Quota,
     rates::Rates,
+    repeats::Purpose,
     watch::Watched,
 };
--- a/src/proxy/repeats.rs
+++ b/src/proxy/repeats.rs
@@ -24,6 +24,22 @@
 /// Share of what requests earn which is handed out: their holder hears of them late.
 const USED_SHARE: f64 = 0.85;
 
+/// Share of what may be saved up that is left for calls of targets: one that fails brings down the
+/// request that waits for it.
+const SPARED_SHARE: f64 = 0.4;
+
+value! {
+    /// What an extra attempt is for.
+    pub enum Purpose {
+        /// A request of a caller.
+        Request,
+        /// A call of a target.
+        Call,
+        /// A call that is made in any case, by a run that was itself a repeat.
+        Forced,
+    }
+}
+
 /// The retry budgets of a node.
 #[derive(Default)]
 pub struct Repeats {
@@ -44,18 +60,9 @@
     }
 
     /// Takes one extra attempt from the budget, and tells whether there was one.
-    pub async fn spend(&self, core: &Core, service: &Service) -> bool {
-        self.draw(core, service, false).await
-    }
-
-    /// Counts an extra attempt that is made in any case: a call of a target that runs a request again.
-    pub async fn force(&self, core: &Core, service: &Service) {
-        self.draw(core, service, true).await;
-    }
-
-    async fn draw(&self, core: &Core, service: &Service, forced: bool) -> bool {
+    pub async fn spend(&self, core: &Core, service: &Service, purpose: Purpose) -> bool {
         let earned = lock(&self.earned).remove(&service.name).unwrap_or_default();
-        let own = || self.take(core, service, earned, forced);
+        let own = || self.take(core, service, earned, purpose);
         if service.retry_slack == 0 {
             return own();
         }
@@ -63,7 +70,8 @@
             organisation: String::new(),
             service: service.name.clone(),
             earned,
-            forced,
+            forced: purpose == Purpose::Forced,
+            urgent: purpose == Purpose::Call,
         };
         let key = format!("retries of {}", service.name);
         let drawn = draw_near(core, &key, &request, own).await;
@@ -71,14 +79,14 @@
     }
 
     /// Takes one extra attempt from what this node holds, after adding what requests have earned.
-    pub fn take(&self, core: &Core, service: &Service, earned: u32, forced: bool) -> bool {
-        let (share, most) = match service.retry_slack {
-            0 => (service.retry_share, MOST_SAVED),
+    pub fn take(&self, core: &Core, service: &Service, earned: u32, purpose: Purpose) -> bool {
+        let (share, most, spared) = match service.retry_slack {
+            0 => (service.retry_share, MOST_SAVED, 0.0),
             slack => {
                 let parts = core.settings.data_centres.len().max(1);
                 #[expect(clippy::cast_precision_loss, reason = "data centres are few")]
                 let most = f64::from(slack) * USED_SLACK / parts as f64;
-                (service.retry_share * USED_SHARE, most)
+                (service.retry_share * USED_SHARE, most, SPARED_SHARE * most)
             }
         };
         let mut held = lock(&self.held);
@@ -86,10 +94,13 @@
             .entry(service.name.clone())
             .or_insert_with(|| RetryBudget::new(most));
         budget.earn(share * f64::from(earned), most);
-        if forced {
-            budget.force();
-            return true;
+        match purpose {
+            Purpose::Request => budget.spend(spared),
+            Purpose::Call => budget.spend(0.0),
+            Purpose::Forced => {
+                budget.force();
+                true
+            }
         }
-        budget.spend()
     }
 }
