--- a/src/proxy/gate.rs
+++ b/src/proxy/gate.rs
@@ -17,7 +17,7 @@
     policy::{eject::Others, limit::Taken, outlook::Class, queue::Rank},
     proxy::{
         Code,
-        guarded::{Announcement, Guarded},
+        guarded::{Announcement, Guarded, Waiter},
         target::Pool,
     },
 };
@@ -237,12 +237,16 @@
             return Err(Code::Busy);
         }
         let (sender, ticket) = oneshot::channel();
+        let waiter = Waiter {
+            sender,
+            careful: wish.careful && !wish.floor,
+        };
         let dropped = target.queue.push(
             wish.rank,
             wish.organisation,
             wish.weight,
             wish.deadline,
-            sender,
+            waiter,
             wish.most,
         );
         drop(targets);
@@ -270,7 +274,7 @@
 
     /// Lets in whom the target has room for, and tells whether one waits for its pace alone.
     fn pump(self: &Arc<Self>, name: &str) -> bool {
-        let mut late = Vec::new();
+        let mut gone = Vec::new();
         let mut handed = Vec::new();
         let mut targets = self.lock();
         let Some(target) = targets.get_mut(name) else {
@@ -278,14 +282,15 @@
         };
         let now = self.clock.now();
         while !target.queue.is_empty() && target.has_room() && target.is_start_due(now) {
-            let Some(sender) = target.queue.pop(now, |t| late.push(t)) else {
+            let Some(waiter) = target.queue.pop(now, |t| gone.push(t)) else {
                 break;
             };
-            if sender.is_closed() {
+            if waiter.sender.is_closed() || (waiter.careful && target.doubtful(now)) {
+                gone.push(waiter);
                 continue;
             }
             target.let_in();
-            handed.push((sender, self.permit(target)));
+            handed.push((waiter.sender, self.permit(target)));
         }
         let paced = target.has_room() && !target.is_start_due(now);
         drop(targets);
@@ -293,7 +298,8 @@
         for (sender, permit) in handed {
             drop(sender.send(permit));
         }
-        drop(late);
+        // Whose sender goes looks for another target.
+        drop(gone);
         paced
     }
 
--- a/src/proxy/guarded.rs
+++ b/src/proxy/guarded.rs
@@ -56,6 +56,13 @@
     }
 }
 
+/// A request that waits for a slot.
+pub(super) struct Waiter {
+    pub(super) sender: oneshot::Sender<Permit>,
+    /// Whether it should rather run where nothing speaks against the target.
+    pub(super) careful: bool,
+}
+
 /// An exchange under way.
 struct Exchanging {
     begun: Instant,
@@ -83,7 +90,7 @@
     pub(super) running: usize,
     pub(super) connections: usize,
     exchanges: HashMap<u64, Exchanging>,
-    pub(super) queue: RankedQueue<oneshot::Sender<Permit>>,
+    pub(super) queue: RankedQueue<Waiter>,
     pub(super) pool: Arc<Pool>,
 }
 
@@ -286,11 +293,11 @@
     }
 
     /// Takes out all that wait, so that they go elsewhere.
-    pub(super) fn take_waiting(&mut self, now: Instant) -> Vec<oneshot::Sender<Permit>> {
+    pub(super) fn take_waiting(&mut self, now: Instant) -> Vec<Waiter> {
         let mut out = Vec::new();
         let mut late = Vec::new();
-        while let Some(sender) = self.queue.pop(now, |t| late.push(t)) {
-            out.push(sender);
+        while let Some(waiter) = self.queue.pop(now, |t| late.push(t)) {
+            out.push(waiter);
         }
         out.append(&mut late);
         out
