--- a/src/board/view.rs
+++ b/src/board/view.rs
@@ -10,7 +10,7 @@
 };
 
 use crate::{
-    board::{Board, Target, Vm},
+    board::{Board, DataCentreKey, Target, Vm},
     config::Index,
     fleet::codec::TargetState,
     policy::{
@@ -110,6 +110,8 @@
     pub others: Vec<VmView>,
     /// Nodes of this data centre that are alive and stay, this one among them.
     pub near: Vec<VmView>,
+    /// The same of each other data centre.
+    pub far: Vec<Vec<VmView>>,
     /// Nodes of the whole fleet that are known, alive or not.
     pub nodes: u32,
     /// Whether this node's data centre is drained.
@@ -148,6 +150,7 @@
         keepers: keepers(board, own),
         others: others(board, own),
         near: near(board, own),
+        far: far(board, own),
         nodes: u32::try_from(board.vms.len()).unwrap_or(u32::MAX),
         drained: centre.is_some_and(|c| board.centres[c].drained),
     }
@@ -170,7 +173,18 @@
 
 fn near(board: &Board, own: &str) -> Vec<VmView> {
     let centre = board.vm(own).map(|vm| vm.centre);
-    let stays = |vm: &&Vm| vm.alive && !vm.leaving && Some(vm.centre) == centre;
+    centre.map(|c| staying_in(board, c)).unwrap_or_default()
+}
+
+fn far(board: &Board, own: &str) -> Vec<Vec<VmView>> {
+    let centre = board.vm(own).map(|vm| vm.centre);
+    let others = board.centres.keys().filter(|c| Some(*c) != centre);
+    let nodes = others.map(|c| staying_in(board, c));
+    nodes.filter(|nodes| !nodes.is_empty()).collect()
+}
+
+fn staying_in(board: &Board, centre: DataCentreKey) -> Vec<VmView> {
+    let stays = |vm: &&Vm| vm.alive && !vm.leaving && vm.centre == centre;
     board.vms.values().filter(stays).map(vm_view).collect()
 }
 
@@ -195,7 +209,7 @@
     board: &Board,
     targets: &[&Target],
     floor: f64,
-    centre: Option<crate::board::DataCentreKey>,
+    centre: Option<DataCentreKey>,
     loads: &mut HashMap<Arc<str>, Arc<Load>>,
 ) -> ServiceView {
     let in_service = |t: &&&Target| {
--- a/src/fleet/codec.rs
+++ b/src/fleet/codec.rs
@@ -69,11 +69,17 @@
     /// Whether it is a call of a target, which may use up the budget.
     #[prost(bool, tag = "5")]
     pub urgent: bool,
+    /// Requests that the part of another data centre asks for; 0 when a node asks for one request.
+    #[prost(uint32, tag = "6")]
+    pub borrowed: u32,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct DrawReply {
     #[prost(bool, tag = "1")]
     pub granted: bool,
+    /// Requests that are lent to the part of another data centre.
+    #[prost(uint32, tag = "2")]
+    pub lent: u32,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct AttemptId {
--- a/src/node/service.rs
+++ b/src/node/service.rs
@@ -74,30 +74,29 @@
     }
 
     async fn draw(&self, request: Request<DrawRequest>) -> Result<Response<DrawReply>, Status> {
-        let DrawRequest {
-            organisation,
-            service,
-            earned,
-            forced,
-            urgent,
-        } = request.into_inner();
-        let view = self.0.view.load_full();
-        let index = &view.index;
-        let purpose = match (forced, urgent) {
-            (true, _) => Purpose::Forced,
-            (false, true) => Purpose::Call,
-            (false, false) => Purpose::Request,
-        };
-        let granted = match organisation.is_empty() {
-            true => index
-                .service(&service)
-                .map(|s| self.0.entry.repeats.take(&self.0, s, earned, purpose)),
-            false => index
-                .organisation(&organisation)
-                .map(|o| self.0.quota.grant(&self.0, o)),
+        let core = &self.0;
+        let request = request.into_inner();
+        let view = core.view.load_full();
+        let unknown = || Status::not_found("unknown here");
+        if request.organisation.is_empty() {
+            let service = view.index.service(&request.service).ok_or_else(unknown)?;
+            let (earned, purpose) = (request.earned, Purpose::of(&request));
+            let granted = core.entry.repeats.take(core, service, earned, purpose);
+            return Ok(Response::new(DrawReply { granted, lent: 0 }));
+        }
+        let organisation = view.index.organisation(&request.organisation);
+        let organisation = organisation.ok_or_else(unknown)?;
+        let reply = match request.borrowed {
+            0 => DrawReply {
+                granted: core.quota.grant(core, organisation).await,
+                lent: 0,
+            },
+            most => DrawReply {
+                granted: false,
+                lent: core.quota.lend(core, organisation, most),
+            },
         };
-        let granted = granted.ok_or_else(|| Status::not_found("unknown here"))?;
-        Ok(Response::new(DrawReply { granted }))
+        Ok(Response::new(reply))
     }
 
     async fn status(&self, _: Request<StatusRequest>) -> Result<Response<StatusReply>, Status> {
--- a/src/policy/share.rs
+++ b/src/policy/share.rs
@@ -1,5 +1,5 @@
 //! An organisation's rate where the deployment allows some excess: each data centre grants its part of
-//! it alone, so that no node waits for word from another data centre.
+//! it alone, and asks another one for more only when its own part is used up.
 //!
 //! docs/decisions/4-quota-by-data-centre.md weighs this against keepers.
 
@@ -60,11 +60,36 @@
         }
     }
 
-    /// Grants one request, if one is left.
-    pub fn draw(&mut self, size: Size, now: Instant) -> bool {
+    fn refill(&mut self, size: Size, now: Instant) {
         let passed = now.saturating_duration_since(self.at).as_secs_f64();
         self.at = self.at.max(now);
-        self.tokens = (self.tokens + passed * size.rate).min(size.burst);
+        let full = self.tokens.max(size.burst);
+        self.tokens = (self.tokens + passed * size.rate).min(full);
+    }
+
+    /// Lends up to `most` requests to the part of another data centre, and keeps as many.
+    pub fn lend(&mut self, size: Size, most: u32, now: Instant) -> u32 {
+        self.refill(size, now);
+        let mut lent = 0;
+        while lent < most && self.tokens >= 2.0 {
+            self.tokens -= 1.0;
+            lent += 1;
+        }
+        if lent == 0 && self.tokens >= 1.0 {
+            self.tokens -= 1.0;
+            lent = 1;
+        }
+        lent
+    }
+
+    /// Takes up what another part lent.
+    pub fn receive(&mut self, lent: u32) {
+        self.tokens += f64::from(lent);
+    }
+
+    /// Grants one request, if one is left.
+    pub fn draw(&mut self, size: Size, now: Instant) -> bool {
+        self.refill(size, now);
         let granted = self.tokens >= 1.0;
         if granted {
             self.tokens -= 1.0;
--- a/src/proxy/quota.rs
+++ b/src/proxy/quota.rs
@@ -4,12 +4,14 @@
 //! agreed on: two holders at once are covered by the excess that the deployment tolerates.
 
 use std::{
+    cmp::Reverse,
     collections::HashMap,
     hash::{DefaultHasher, Hash, Hasher},
-    sync::{Mutex, PoisonError},
-    time::Duration,
+    sync::{Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
 };
 
+use rand::{rng, seq::SliceRandom};
 use tokio::time::timeout;
 
 use crate::{
@@ -26,22 +28,36 @@
 /// Nodes that are asked before this one grants from its own small part.
 const MOST_ASKED: usize = 2;
 
+/// How long the part of another data centre is waited for.
+const BORROW_TIMEOUT: Duration = Duration::from_millis(50);
+
+/// Requests that are asked for at once, so that an uneven load needs few calls.
+const BORROWED: u32 = 3;
+
+/// How long nothing more is asked for after all other parts had nothing left.
+const BORROW_PAUSE: Duration = Duration::from_millis(300);
+
+type Parts = Mutex<HashMap<String, Part>>;
+
 /// Parts that this node holds.
 #[derive(Default)]
 pub struct Quota {
     /// Parts of the data centre that this node holds, by organisation.
-    held: Mutex<HashMap<String, Part>>,
+    held: Parts,
     /// Parts of this node alone, for when no holder answers.
-    own: Mutex<HashMap<String, Part>>,
+    own: Parts,
+    /// Until when other parts are not asked, by organisation.
+    pauses: Mutex<HashMap<String, Instant>>,
 }
 
-/// Draws from one of a table of parts.
-fn draw_from(
-    parts: &Mutex<HashMap<String, Part>>,
+/// Does something with one of a table of parts.
+fn with<T>(
+    parts: &Parts,
     core: &Core,
     organisation: &Organisation,
     count: u32,
-) -> bool {
+    act: impl FnOnce(&mut Part, Size, Instant) -> T,
+) -> T {
     let now = core.clock.now();
     let size = Size::of(
         organisation.rate,
@@ -49,47 +65,57 @@
         &core.settings.excess,
         count,
     );
-    let mut parts = parts.lock().unwrap_or_else(PoisonError::into_inner);
-    parts
+    let mut parts = lock(parts);
+    let part = parts
         .entry(organisation.name.clone())
-        .or_insert_with(|| Part::new(size, now))
-        .draw(size, now)
+        .or_insert_with(|| Part::new(size, now));
+    act(part, size, now)
+}
+
+fn data_centres(core: &Core) -> u32 {
+    let centres = core.settings.data_centres.len().max(1);
+    u32::try_from(centres).unwrap_or(u32::MAX)
 }
 
-/// Orders the nodes of the data centre by who should hold an organisation's part.
-fn holders(core: &Core, organisation: &str) -> Vec<VmView> {
-    let mut near = core.view.load().near.clone();
+/// Orders nodes by who should hold something.
+fn ranked(mut nodes: Vec<VmView>, key: &str) -> Vec<VmView> {
     let weight = |vm: &VmView| {
         let mut hasher = DefaultHasher::new();
-        (&*vm.address, organisation).hash(&mut hasher);
+        (&*vm.address, key).hash(&mut hasher);
         hasher.finish()
     };
-    near.sort_by_key(|vm| std::cmp::Reverse(weight(vm)));
-    near
+    nodes.sort_by_key(|vm| Reverse(weight(vm)));
+    nodes
 }
 
-/// Asks the nodes of the data centre that should hold something, in order, until one answers; `own`
-/// answers for this node. Returns nothing when nobody does.
-pub(super) async fn draw_near(
-    core: &Core,
-    key: &str,
-    request: &DrawRequest,
-    own: impl Fn() -> bool,
-) -> Option<bool> {
-    for holder in holders(core, key).iter().take(MOST_ASKED) {
+/// Who decides about a draw.
+pub(super) enum Holder {
+    /// Another node, which has.
+    Other(bool),
+    /// This one.
+    This,
+    /// Nobody that answers.
+    Nobody,
+}
+
+/// Asks the nodes of the data centre that should hold something, in order, until one answers or it is
+/// this node's turn.
+pub(super) async fn draw_near(core: &Core, key: &str, request: &DrawRequest) -> Holder {
+    let near = core.view.load().near.clone();
+    for holder in ranked(near, key).iter().take(MOST_ASKED) {
         if holder.address == core.address {
-            return Some(own());
+            return Holder::This;
         }
         let asked = timeout(ASK_TIMEOUT, ask(core, holder, request.clone())).await;
         match asked.ok().flatten() {
-            Some(reply) => return Some(reply.granted),
+            Some(reply) => return Holder::Other(reply.granted),
             None => {
                 let holder = &*holder.address;
                 spdlog::warn!("holder does not answer", kv: { key, holder });
             }
         }
     }
-    None
+    Holder::Nobody
 }
 
 impl Quota {
@@ -102,20 +128,70 @@
             organisation: organisation.name.clone(),
             ..DrawRequest::default()
         };
-        let own = || self.grant(core, organisation);
-        let drawn = draw_near(core, &organisation.name, &request, own).await;
-        drawn.unwrap_or_else(|| {
-            let nodes = core.view.load().nodes;
-            draw_from(&self.own, core, organisation, nodes)
+        match draw_near(core, &organisation.name, &request).await {
+            Holder::Other(granted) => granted,
+            Holder::This => self.grant(core, organisation).await,
+            Holder::Nobody => {
+                let nodes = core.view.load().nodes;
+                with(&self.own, core, organisation, nodes, Part::draw)
+            }
+        }
+    }
+
+    /// Grants one request from the part that this node holds for its data centre, or from that of
+    /// another one, if one is left.
+    pub async fn grant(&self, core: &Core, organisation: &Organisation) -> bool {
+        let count = data_centres(core);
+        if with(&self.held, core, organisation, count, Part::draw) {
+            return true;
+        }
+        let lent = self.borrow(core, organisation).await;
+        with(&self.held, core, organisation, count, |part, size, now| {
+            part.receive(lent);
+            part.draw(size, now)
         })
     }
 
-    /// Grants one request from the part that this node holds for its data centre, if one is left.
-    pub fn grant(&self, core: &Core, organisation: &Organisation) -> bool {
-        let centres = core.settings.data_centres.len().max(1);
-        let centres = u32::try_from(centres).unwrap_or(u32::MAX);
-        draw_from(&self.held, core, organisation, centres)
+    /// Lends what this node holds for its data centre to the part of another one.
+    pub fn lend(&self, core: &Core, organisation: &Organisation, most: u32) -> u32 {
+        let count = data_centres(core);
+        with(&self.held, core, organisation, count, |part, size, now| {
+            part.lend(size, most, now)
+        })
     }
+
+    async fn borrow(&self, core: &Core, organisation: &Organisation) -> u32 {
+        let name = &organisation.name;
+        let now = core.clock.now();
+        if lock(&self.pauses).get(name).is_some_and(|until| now < *until) {
+            return 0;
+        }
+        let mut far = core.view.load().far.clone();
+        far.shuffle(&mut rng());
+        for nodes in far {
+            let ranked = ranked(nodes, name);
+            let Some(holder) = ranked.first() else {
+                continue;
+            };
+            let request = DrawRequest {
+                organisation: name.clone(),
+                borrowed: BORROWED,
+                ..DrawRequest::default()
+            };
+            let asked = timeout(BORROW_TIMEOUT, ask(core, holder, request)).await;
+            let lent = asked.ok().flatten().map_or(0, |reply| reply.lent);
+            if lent > 0 {
+                return lent;
+            }
+        }
+        let until = core.clock.now() + BORROW_PAUSE;
+        lock(&self.pauses).insert(name.clone(), until);
+        0
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 async fn ask(core: &Core, holder: &VmView, request: DrawRequest) -> Option<DrawReply> {
--- a/src/proxy/repeats.rs
+++ b/src/proxy/repeats.rs
@@ -14,7 +14,7 @@
     fleet::codec::DrawRequest,
     node::Core,
     policy::budget::{MOST_SAVED, RetryBudget},
-    proxy::quota::draw_near,
+    proxy::quota::{Holder, draw_near},
 };
 
 /// Share of the extra attempts that the fleet may save up which is handed out; the rest covers
@@ -40,6 +40,18 @@
     }
 }
 
+impl Purpose {
+    /// Reads what a node asks an extra attempt for.
+    #[must_use]
+    pub fn of(request: &DrawRequest) -> Self {
+        match (request.forced, request.urgent) {
+            (true, _) => Self::Forced,
+            (false, true) => Self::Call,
+            (false, false) => Self::Request,
+        }
+    }
+}
+
 /// The retry budgets of a node.
 #[derive(Default)]
 pub struct Repeats {
@@ -62,9 +74,8 @@
     /// Takes one extra attempt from the budget, and tells whether there was one.
     pub async fn spend(&self, core: &Core, service: &Service, purpose: Purpose) -> bool {
         let earned = lock(&self.earned).remove(&service.name).unwrap_or_default();
-        let own = || self.take(core, service, earned, purpose);
         if service.retry_slack == 0 {
-            return own();
+            return self.take(core, service, earned, purpose);
         }
         let request = DrawRequest {
             organisation: String::new(),
@@ -72,10 +83,13 @@
             earned,
             forced: purpose == Purpose::Forced,
             urgent: purpose == Purpose::Call,
+            borrowed: 0,
         };
         let key = format!("retries of {}", service.name);
-        let drawn = draw_near(core, &key, &request, own).await;
-        drawn.unwrap_or_else(own)
+        match draw_near(core, &key, &request).await {
+            Holder::Other(granted) => granted,
+            Holder::This | Holder::Nobody => self.take(core, service, earned, purpose),
+        }
     }
 
     /// Takes one extra attempt from what this node holds, after adding what requests have earned.
