--- a/src/proxy/course.rs
+++ b/src/proxy/course.rs
@@ -44,9 +44,11 @@
 /// to another one: waits up to an eighth of the objective cost users nothing.
 const NEAR_WAIT_SHARE: f64 = 0.125;
 
-/// Share of a route's objective that an idempotent request may run before it is tried a second time
-/// beside the first: an answer that takes half of the objective can still come in time from elsewhere.
-const SECOND_AFTER: f64 = 0.45;
+/// Share of a route's objective after which an idempotent request is tried a second time beside the
+/// first, and the share that the first has at least: an answer that takes half of the objective can
+/// still come in time from elsewhere.
+const SECOND_AFTER: f64 = 0.5;
+const FIRST_HAS: f64 = 0.35;
 
 /// An attempt that ended, at the target and with the number that it had.
 type Ended = (TargetView, Tried);
@@ -170,9 +172,11 @@
     /// waits long for its slot.
     fn second_after(&self, wait: Duration) -> Option<Instant> {
         let objective = self.job.objective();
-        let due = objective.mul_f64(SECOND_AFTER);
-        let useful = self.job.idempotent && !objective.is_zero() && wait < due;
-        useful.then(|| self.job.core.clock.now() + due)
+        let useful = self.job.idempotent && !objective.is_zero();
+        let soon = wait < objective.mul_f64(FIRST_HAS);
+        let due = self.job.begun + objective.mul_f64(SECOND_AFTER);
+        let first = self.job.core.clock.now() + objective.mul_f64(FIRST_HAS);
+        (useful && soon).then_some(due.max(first))
     }
 
     /// Returns the next attempt, if there is a target and a body for one.
--- a/src/proxy/dispatch.rs
+++ b/src/proxy/dispatch.rs
@@ -39,9 +39,22 @@
 }
 
 impl Entry {
-    /// Takes a repeat of an idempotent request from the budget, if there is one.
+    /// Takes a repeat of an idempotent request from the budget, if there is one. Where quotas are
+    /// granted here, it draws on the organisation's once more: it may run at two targets.
     pub(super) async fn may_repeat(&self, job: &Job) -> bool {
-        job.idempotent && !job.over() && self.spend(job).await
+        job.idempotent && !job.over() && self.draw_again(job).await && self.spend(job).await
+    }
+
+    async fn draw_again(&self, job: &Job) -> bool {
+        let core = &job.core;
+        let Some((organisation, _)) = job.caller.as_ref().filter(|_| core.feed.is_some()) else {
+            return true;
+        };
+        let view = core.view.load_full();
+        match view.index.organisation(organisation) {
+            Some(organisation) => core.quota.draw(core, organisation).await,
+            None => false,
+        }
     }
 
     /// Tells whether a request that a target refused to run may be sent to another one. Where the
--- a/src/proxy/repeats.rs
+++ b/src/proxy/repeats.rs
@@ -19,10 +19,11 @@
 
 /// Share of the extra attempts that the fleet may save up which is handed out; the rest covers
 /// holders that change.
-const USED_SLACK: f64 = 0.7;
+const USED_SLACK: f64 = 0.55;
 
-/// Share of what requests earn which is handed out: their holder hears of them late.
-const USED_SHARE: f64 = 0.85;
+/// Share of what requests earn which is handed out: their holder hears of them late,
+/// and which calls belong to a repeated run is an estimate.
+const USED_SHARE: f64 = 0.75;
 
 /// Share of what may be saved up that is left for calls of targets: one that fails brings down the
 /// request that waits for it.
