--- a/src/node/follow.rs
+++ b/src/node/follow.rs
@@ -20,6 +20,10 @@
 /// and a fetch on top, a change is in force well within 2 s, the tightest bound of the deployments.
 const READ_AT: Duration = Duration::from_millis(700);
 
+/// Age at which the reader of a data centre reads again while that of another one, which the word of
+/// each read reaches at once, reads for all.
+const SECOND_READ_AT: Duration = Duration::from_millis(1_100);
+
 /// Age at which any node reads for itself: relayed reads are younger while gossip works.
 const OWN_READ_AT: Duration = Duration::from_millis(1_500);
 
@@ -80,9 +84,13 @@
     let Some(age) = shared.fresh.head_age(now) else {
         return Duration::ZERO;
     };
-    let due = match shared.delegate(&core.settings.centre).as_deref() == Some(&*core.address) {
-        true => READ_AT,
-        false => OWN_READ_AT + OWN_READ_JITTER.mul_f64(rng().random_range(0.0..1.0)),
+    let own = Some(&*core.address);
+    let due = if shared.delegate(&core.settings.centre).as_deref() != own {
+        OWN_READ_AT + OWN_READ_JITTER.mul_f64(rng().random_range(0.0..1.0))
+    } else if shared.first_delegate().as_deref() == own {
+        READ_AT
+    } else {
+        SECOND_READ_AT
     };
     due.saturating_sub(age)
 }
@@ -190,6 +198,12 @@
         }
     }
 
+    /// Returns the one of all delegates that reads the feed most often.
+    fn first_delegate(&self) -> Option<Arc<str>> {
+        let centres = self.board.centres.values();
+        centres.filter_map(|c| self.delegate(&c.name)).min()
+    }
+
     /// Returns the node of a data centre that reads the feed and gossips with the other ones.
     pub(super) fn delegate(&self, centre: &str) -> Option<Arc<str>> {
         let here = |vm: &&crate::board::Vm| *self.board.centres[vm.centre].name == *centre;
--- a/src/node/gossip.rs
+++ b/src/node/gossip.rs
@@ -48,9 +48,11 @@
         let mut peers = match (core.feed.is_some(), news.is_ok()) {
             (false, _) => choose(&core).into_iter().collect(),
             (true, false) => choose_near(&core).into_iter().collect(),
-            (true, true) => all_near(&core),
+            (true, true) if core.stopping() || is_delegate(&core) => all_near(&core),
+            (true, true) => Vec::new(),
         };
-        if core.feed.is_some() && now >= far_at + FAR_EVERY {
+        let far_due = news.is_ok() || now >= far_at + FAR_EVERY;
+        if core.feed.is_some() && far_due && is_delegate(&core) {
             far_at = now;
             peers.extend(choose_far(&core));
         }
@@ -110,13 +112,16 @@
     near.iter().filter_map(|vm| vm.parse().ok()).collect()
 }
 
-/// Chooses one node of each other data centre, if this node is its own one's delegate.
+/// Tells whether this node reads the feed and gossips for its data centre.
+fn is_delegate(core: &Core) -> bool {
+    let delegate = core.shared().delegate(&core.settings.centre);
+    delegate.as_deref() == Some(&*core.address)
+}
+
+/// Chooses one node of each other data centre.
 fn choose_far(core: &Core) -> Vec<SocketAddr> {
     let shared = core.shared();
     let own = core.settings.centre.as_str();
-    if shared.delegate(own).as_deref() != Some(&*core.address) {
-        return Vec::new();
-    }
     let mut centres: Vec<&str> = shared.board.centres.values().map(|c| &*c.name).collect();
     centres.extend(shared.seeds.iter().map(|s| s.centre.as_str()));
     centres.sort_unstable();
--- a/src/policy/outlook.rs
+++ b/src/policy/outlook.rs
@@ -27,8 +27,14 @@
 /// Exchanges that are remembered.
 const MOST_SAMPLES: usize = 48;
 
-/// Weight of an error that the target answered: one of its own calls may have failed instead.
-const ERRED_WEIGHT: f64 = 1.0;
+/// Weight of an error that the target answered at once.
+const ERRED_WEIGHT: f64 = 1.5;
+
+/// Weight of an error after some work: one of the target's own calls may have failed instead.
+const ERRED_LATE_WEIGHT: f64 = 0.2;
+
+/// Share of its class's time within which an error comes at once.
+const AT_ONCE: f64 = 0.25;
 
 /// Weight of a refusal of a target that has free slots.
 const SHED_WEIGHT: f64 = 1.5;
@@ -127,7 +133,8 @@
         sample.weight = Some(match ending {
             Ending::Good if took > sample.usual.mul_f64(LATE_RATIO) => LATE_WEIGHT,
             Ending::Good => FAILING_ANSWERS.ln(),
-            Ending::Erred => ERRED_WEIGHT,
+            Ending::Erred if took < sample.usual.mul_f64(AT_ONCE) => ERRED_WEIGHT,
+            Ending::Erred => ERRED_LATE_WEIGHT,
             Ending::Shed => SHED_WEIGHT,
             Ending::Broke => BROKE_WEIGHT,
             Ending::Abandoned => running_weight(took, sample.usual),
--- a/src/proxy/course.rs
+++ b/src/proxy/course.rs
@@ -44,6 +44,10 @@
 /// to another one: waits up to an eighth of the objective cost users nothing.
 const NEAR_WAIT_SHARE: f64 = 0.125;
 
+/// How much more there must be to do at a near target, as a share of its slots, for a request to wait
+/// at a far one instead.
+const FAR_LOAD: f64 = 0.5;
+
 /// Share of a route's objective after which an idempotent request is tried a second time beside the
 /// first, and the share that the first has at least: an answer that takes half of the objective can
 /// still come in time from elsewhere.
@@ -250,7 +254,10 @@
     /// Takes the target with least to do of those that had no free slot and fit.
     fn least_busy(&mut self, fits: impl Fn(&TargetView) -> bool) -> Option<TargetView> {
         let now = self.job.core.clock.now();
-        let order = |t: &TargetView| (t.failing, !t.near, t.total(now) / f64::from(t.slots.max(1)));
+        let order = |t: &TargetView| {
+            let farther = if t.near { 0.0 } else { FAR_LOAD };
+            (t.failing, t.total(now) / f64::from(t.slots.max(1)) + farther)
+        };
         let least = (0..self.busy.len())
             .filter(|i| fits(&self.busy[*i]))
             .min_by(|a, b| order(&self.busy[*a]).partial_cmp(&order(&self.busy[*b])).unwrap())?;
--- a/tests/gray.rs
+++ b/tests/gray.rs
@@ -72,6 +72,23 @@
     assert!(!outlook.doubtful(now + ms(2_100)));
 }
 
+#[test]
+fn errors_after_work_do_not_take_a_target_out_since_a_call_may_have_failed() {
+    let start = Instant::now();
+    let mut outlook = known(start);
+    let now = start + ms(60_000);
+    for i in 0..6 {
+        outlook.begin(600 + i, ORDER, now);
+        outlook.end(600 + i, ORDER, Ending::Erred, now + ms(900));
+    }
+    assert!(!outlook.out(now + ms(900)));
+    for i in 0..4 {
+        outlook.begin(700 + i, ORDER, now + ms(900));
+        outlook.end(700 + i, ORDER, Ending::Erred, now + ms(904));
+    }
+    assert!(outlook.out(now + ms(904)));
+}
+
 #[test]
 fn a_target_that_nobody_tries_is_forgiven_in_seconds() {
     let start = Instant::now();
