--- a/examples/slopes.rs
+++ b/examples/slopes.rs
@@ -333,9 +333,11 @@
         let index = Index::new(1, Arc::clone(&document));
         let (key, host) = ("organisation-5", "host-3.example");
         let found = timed(10_000, || index.key(key).is_some());
-        let routed = timed(10_000, || index
+        let routed = timed(10_000, || {
+            index
                 .route(host, "/part-3/things/a/b", &mut rng())
-                .is_some());
+                .is_some()
+        });
         drop((changed, after));
         println!(
             "organisations {organisations:>5}, routes {routes:>4}: whole {} KB, delta {} KB, \
--- a/src/config/file.rs
+++ b/src/config/file.rs
@@ -259,11 +259,7 @@
     Some(service.value)
 }
 
-fn declared(
-    source: &Source<'_>,
-    service: &Placed<String>,
-    services: &BTreeMap<String, Service>,
-) {
+fn declared(source: &Source<'_>, service: &Placed<String>, services: &BTreeMap<String, Service>) {
     if !services.contains_key(&service.value) {
         source.add(
             service.at,
--- a/src/config/index.rs
+++ b/src/config/index.rs
@@ -174,10 +174,7 @@
 }
 
 /// Draws a service by weight.
-fn draw<'s>(
-    portions: &'s [(Arc<Service>, u32)],
-    rng: &mut impl Rng,
-) -> Option<&'s Arc<Service>> {
+fn draw<'s>(portions: &'s [(Arc<Service>, u32)], rng: &mut impl Rng) -> Option<&'s Arc<Service>> {
     let total: u32 = portions.iter().map(|(_, weight)| weight).sum();
     if portions.len() <= 1 || total == 0 {
         return portions.first().map(|(service, _)| service);
--- a/src/feed.rs
+++ b/src/feed.rs
@@ -30,11 +30,14 @@
     Written(Bytes),
 }
 
+/// Decodes what the operators wrote into a generation's number and its document.
+pub type Decode = Arc<dyn Fn(&[u8]) -> Result<(u64, Document), Error> + Send + Sync>;
+
 /// The functions of a feed.
 #[derive(Clone)]
 pub struct Feed {
     /// Reads what has changed since a place in the store's order of changes; 0 for everything.
     pub read: Arc<dyn Fn(u64) -> Answer<Reading> + Send + Sync>,
     /// Decodes a generation with its number.
-    pub decode: Arc<dyn Fn(&[u8]) -> Result<(u64, Document), Error> + Send + Sync>,
+    pub decode: Decode,
 }
--- a/src/fleet/codec.rs
+++ b/src/fleet/codec.rs
@@ -396,10 +396,10 @@
         dead_code,
         missing_docs,
         clippy::wildcard_imports,
-        clippy::let_unit_value,
+        clippy::let_unit_value
     )]
-    use tonic::codegen::*;
     use tonic::codegen::http::Uri;
+    use tonic::codegen::*;
     /// Control calls between nodes, and from the operator's command line to nodes.
     #[derive(Debug, Clone)]
     pub struct FleetClient<T> {
@@ -428,14 +428,13 @@
             F: tonic::service::Interceptor,
             T::ResponseBody: Default,
             T: tonic::codegen::Service<
-                http::Request<tonic::body::Body>,
-                Response = http::Response<
-                    <T as tonic::client::GrpcService<tonic::body::Body>>::ResponseBody,
+                    http::Request<tonic::body::Body>,
+                    Response = http::Response<
+                        <T as tonic::client::GrpcService<tonic::body::Body>>::ResponseBody,
+                    >,
                 >,
-            >,
-            <T as tonic::codegen::Service<
-                http::Request<tonic::body::Body>,
-            >>::Error: Into<StdError> + std::marker::Send + std::marker::Sync,
+            <T as tonic::codegen::Service<http::Request<tonic::body::Body>>>::Error:
+                Into<StdError> + std::marker::Send + std::marker::Sync,
         {
             FleetClient::new(InterceptedService::new(inner, interceptor))
         }
@@ -475,18 +474,14 @@
             &mut self,
             request: impl tonic::IntoRequest<super::BorrowRequest>,
         ) -> std::result::Result<tonic::Response<super::BorrowReply>, tonic::Status> {
-            self.inner
-                .ready()
-                .await
-                .map_err(|e| {
-                    tonic::Status::unknown(
-                        format!("Service was not ready: {}", e.into()),
-                    )
-                })?;
+            self.inner.ready().await.map_err(|e| {
+                tonic::Status::unknown(format!("Service was not ready: {}", e.into()))
+            })?;
             let codec = tonic_prost::ProstCodec::default();
             let path = http::uri::PathAndQuery::from_static("/fleet.Fleet/Borrow");
             let mut req = request.into_request();
-            req.extensions_mut().insert(GrpcMethod::new("fleet.Fleet", "Borrow"));
+            req.extensions_mut()
+                .insert(GrpcMethod::new("fleet.Fleet", "Borrow"));
             self.inner.unary(req, path, codec).await
         }
         /// Resolve settles what became of an attempt, and bars it when it never arrived.
@@ -494,18 +489,14 @@
             &mut self,
             request: impl tonic::IntoRequest<super::ResolveRequest>,
         ) -> std::result::Result<tonic::Response<super::ResolveReply>, tonic::Status> {
-            self.inner
-                .ready()
-                .await
-                .map_err(|e| {
-                    tonic::Status::unknown(
-                        format!("Service was not ready: {}", e.into()),
-                    )
-                })?;
+            self.inner.ready().await.map_err(|e| {
+                tonic::Status::unknown(format!("Service was not ready: {}", e.into()))
+            })?;
             let codec = tonic_prost::ProstCodec::default();
             let path = http::uri::PathAndQuery::from_static("/fleet.Fleet/Resolve");
             let mut req = request.into_request();
-            req.extensions_mut().insert(GrpcMethod::new("fleet.Fleet", "Resolve"));
+            req.extensions_mut()
+                .insert(GrpcMethod::new("fleet.Fleet", "Resolve"));
             self.inner.unary(req, path, codec).await
         }
         /// Fetch returns one content-addressed chunk of a configuration.
@@ -513,18 +504,14 @@
             &mut self,
             request: impl tonic::IntoRequest<super::FetchRequest>,
         ) -> std::result::Result<tonic::Response<super::FetchReply>, tonic::Status> {
-            self.inner
-                .ready()
-                .await
-                .map_err(|e| {
-                    tonic::Status::unknown(
-                        format!("Service was not ready: {}", e.into()),
-                    )
-                })?;
+            self.inner.ready().await.map_err(|e| {
+                tonic::Status::unknown(format!("Service was not ready: {}", e.into()))
+            })?;
             let codec = tonic_prost::ProstCodec::default();
             let path = http::uri::PathAndQuery::from_static("/fleet.Fleet/Fetch");
             let mut req = request.into_request();
-            req.extensions_mut().insert(GrpcMethod::new("fleet.Fleet", "Fetch"));
+            req.extensions_mut()
+                .insert(GrpcMethod::new("fleet.Fleet", "Fetch"));
             self.inner.unary(req, path, codec).await
         }
         /// Status returns a node's view of the fleet.
@@ -532,18 +519,14 @@
             &mut self,
             request: impl tonic::IntoRequest<super::StatusRequest>,
         ) -> std::result::Result<tonic::Response<super::StatusReply>, tonic::Status> {
-            self.inner
-                .ready()
-                .await
-                .map_err(|e| {
-                    tonic::Status::unknown(
-                        format!("Service was not ready: {}", e.into()),
-                    )
-                })?;
+            self.inner.ready().await.map_err(|e| {
+                tonic::Status::unknown(format!("Service was not ready: {}", e.into()))
+            })?;
             let codec = tonic_prost::ProstCodec::default();
             let path = http::uri::PathAndQuery::from_static("/fleet.Fleet/Status");
             let mut req = request.into_request();
-            req.extensions_mut().insert(GrpcMethod::new("fleet.Fleet", "Status"));
+            req.extensions_mut()
+                .insert(GrpcMethod::new("fleet.Fleet", "Status"));
             self.inner.unary(req, path, codec).await
         }
         /// Members returns the records of buckets that differ, for nodes that lack many.
@@ -551,18 +534,14 @@
             &mut self,
             request: impl tonic::IntoRequest<super::MembersRequest>,
         ) -> std::result::Result<tonic::Response<super::MembersReply>, tonic::Status> {
-            self.inner
-                .ready()
-                .await
-                .map_err(|e| {
-                    tonic::Status::unknown(
-                        format!("Service was not ready: {}", e.into()),
-                    )
-                })?;
+            self.inner.ready().await.map_err(|e| {
+                tonic::Status::unknown(format!("Service was not ready: {}", e.into()))
+            })?;
             let codec = tonic_prost::ProstCodec::default();
             let path = http::uri::PathAndQuery::from_static("/fleet.Fleet/Members");
             let mut req = request.into_request();
-            req.extensions_mut().insert(GrpcMethod::new("fleet.Fleet", "Members"));
+            req.extensions_mut()
+                .insert(GrpcMethod::new("fleet.Fleet", "Members"));
             self.inner.unary(req, path, codec).await
         }
         /// Draw asks the holder of a data centre's part of a quota, or of a retry budget, for one request.
@@ -570,18 +549,14 @@
             &mut self,
             request: impl tonic::IntoRequest<super::DrawRequest>,
         ) -> std::result::Result<tonic::Response<super::DrawReply>, tonic::Status> {
-            self.inner
-                .ready()
-                .await
-                .map_err(|e| {
-                    tonic::Status::unknown(
-                        format!("Service was not ready: {}", e.into()),
-                    )
-                })?;
+            self.inner.ready().await.map_err(|e| {
+                tonic::Status::unknown(format!("Service was not ready: {}", e.into()))
+            })?;
             let codec = tonic_prost::ProstCodec::default();
             let path = http::uri::PathAndQuery::from_static("/fleet.Fleet/Draw");
             let mut req = request.into_request();
-            req.extensions_mut().insert(GrpcMethod::new("fleet.Fleet", "Draw"));
+            req.extensions_mut()
+                .insert(GrpcMethod::new("fleet.Fleet", "Draw"));
             self.inner.unary(req, path, codec).await
         }
     }
@@ -593,7 +568,7 @@
         dead_code,
         missing_docs,
         clippy::wildcard_imports,
-        clippy::let_unit_value,
+        clippy::let_unit_value
     )]
     use tonic::codegen::*;
     /// Generated trait containing gRPC methods that should be implemented for use with FleetServer.
@@ -652,10 +627,7 @@
                 max_encoding_message_size: None,
             }
         }
-        pub fn with_interceptor<F>(
-            inner: T,
-            interceptor: F,
-        ) -> InterceptedService<Self, F>
+        pub fn with_interceptor<F>(inner: T, interceptor: F) -> InterceptedService<Self, F>
         where
             F: tonic::service::Interceptor,
         {
@@ -710,21 +682,15 @@
                 "/fleet.Fleet/Borrow" => {
                     #[allow(non_camel_case_types)]
                     struct BorrowSvc<T: Fleet>(pub Arc<T>);
-                    impl<T: Fleet> tonic::server::UnaryService<super::BorrowRequest>
-                    for BorrowSvc<T> {
+                    impl<T: Fleet> tonic::server::UnaryService<super::BorrowRequest> for BorrowSvc<T> {
                         type Response = super::BorrowReply;
-                        type Future = BoxFuture<
-                            tonic::Response<Self::Response>,
-                            tonic::Status,
-                        >;
+                        type Future = BoxFuture<tonic::Response<Self::Response>, tonic::Status>;
                         fn call(
                             &mut self,
                             request: tonic::Request<super::BorrowRequest>,
                         ) -> Self::Future {
                             let inner = Arc::clone(&self.0);
-                            let fut = async move {
-                                <T as Fleet>::borrow(&inner, request).await
-                            };
+                            let fut = async move { <T as Fleet>::borrow(&inner, request).await };
                             Box::pin(fut)
                         }
                     }
@@ -753,21 +719,15 @@
                 "/fleet.Fleet/Resolve" => {
                     #[allow(non_camel_case_types)]
                     struct ResolveSvc<T: Fleet>(pub Arc<T>);
-                    impl<T: Fleet> tonic::server::UnaryService<super::ResolveRequest>
-                    for ResolveSvc<T> {
+                    impl<T: Fleet> tonic::server::UnaryService<super::ResolveRequest> for ResolveSvc<T> {
                         type Response = super::ResolveReply;
-                        type Future = BoxFuture<
-                            tonic::Response<Self::Response>,
-                            tonic::Status,
-                        >;
+                        type Future = BoxFuture<tonic::Response<Self::Response>, tonic::Status>;
                         fn call(
                             &mut self,
                             request: tonic::Request<super::ResolveRequest>,
                         ) -> Self::Future {
                             let inner = Arc::clone(&self.0);
-                            let fut = async move {
-                                <T as Fleet>::resolve(&inner, request).await
-                            };
+                            let fut = async move { <T as Fleet>::resolve(&inner, request).await };
                             Box::pin(fut)
                         }
                     }
@@ -796,21 +756,15 @@
                 "/fleet.Fleet/Fetch" => {
                     #[allow(non_camel_case_types)]
                     struct FetchSvc<T: Fleet>(pub Arc<T>);
-                    impl<T: Fleet> tonic::server::UnaryService<super::FetchRequest>
-                    for FetchSvc<T> {
+                    impl<T: Fleet> tonic::server::UnaryService<super::FetchRequest> for FetchSvc<T> {
                         type Response = super::FetchReply;
-                        type Future = BoxFuture<
-                            tonic::Response<Self::Response>,
-                            tonic::Status,
-                        >;
+                        type Future = BoxFuture<tonic::Response<Self::Response>, tonic::Status>;
                         fn call(
                             &mut self,
                             request: tonic::Request<super::FetchRequest>,
                         ) -> Self::Future {
                             let inner = Arc::clone(&self.0);
-                            let fut = async move {
-                                <T as Fleet>::fetch(&inner, request).await
-                            };
+                            let fut = async move { <T as Fleet>::fetch(&inner, request).await };
                             Box::pin(fut)
                         }
                     }
@@ -839,21 +793,15 @@
                 "/fleet.Fleet/Status" => {
                     #[allow(non_camel_case_types)]
                     struct StatusSvc<T: Fleet>(pub Arc<T>);
-                    impl<T: Fleet> tonic::server::UnaryService<super::StatusRequest>
-                    for StatusSvc<T> {
+                    impl<T: Fleet> tonic::server::UnaryService<super::StatusRequest> for StatusSvc<T> {
                         type Response = super::StatusReply;
-                        type Future = BoxFuture<
-                            tonic::Response<Self::Response>,
-                            tonic::Status,
-                        >;
+                        type Future = BoxFuture<tonic::Response<Self::Response>, tonic::Status>;
                         fn call(
                             &mut self,
                             request: tonic::Request<super::StatusRequest>,
                         ) -> Self::Future {
                             let inner = Arc::clone(&self.0);
-                            let fut = async move {
-                                <T as Fleet>::status(&inner, request).await
-                            };
+                            let fut = async move { <T as Fleet>::status(&inner, request).await };
                             Box::pin(fut)
                         }
                     }
@@ -882,21 +830,15 @@
                 "/fleet.Fleet/Members" => {
                     #[allow(non_camel_case_types)]
                     struct MembersSvc<T: Fleet>(pub Arc<T>);
-                    impl<T: Fleet> tonic::server::UnaryService<super::MembersRequest>
-                    for MembersSvc<T> {
+                    impl<T: Fleet> tonic::server::UnaryService<super::MembersRequest> for MembersSvc<T> {
                         type Response = super::MembersReply;
-                        type Future = BoxFuture<
-                            tonic::Response<Self::Response>,
-                            tonic::Status,
-                        >;
+                        type Future = BoxFuture<tonic::Response<Self::Response>, tonic::Status>;
                         fn call(
                             &mut self,
                             request: tonic::Request<super::MembersRequest>,
                         ) -> Self::Future {
                             let inner = Arc::clone(&self.0);
-                            let fut = async move {
-                                <T as Fleet>::members(&inner, request).await
-                            };
+                            let fut = async move { <T as Fleet>::members(&inner, request).await };
                             Box::pin(fut)
                         }
                     }
@@ -925,21 +867,15 @@
                 "/fleet.Fleet/Draw" => {
                     #[allow(non_camel_case_types)]
                     struct DrawSvc<T: Fleet>(pub Arc<T>);
-                    impl<T: Fleet> tonic::server::UnaryService<super::DrawRequest>
-                    for DrawSvc<T> {
+                    impl<T: Fleet> tonic::server::UnaryService<super::DrawRequest> for DrawSvc<T> {
                         type Response = super::DrawReply;
-                        type Future = BoxFuture<
-                            tonic::Response<Self::Response>,
-                            tonic::Status,
-                        >;
+                        type Future = BoxFuture<tonic::Response<Self::Response>, tonic::Status>;
                         fn call(
                             &mut self,
                             request: tonic::Request<super::DrawRequest>,
                         ) -> Self::Future {
                             let inner = Arc::clone(&self.0);
-                            let fut = async move {
-                                <T as Fleet>::draw(&inner, request).await
-                            };
+                            let fut = async move { <T as Fleet>::draw(&inner, request).await };
                             Box::pin(fut)
                         }
                     }
@@ -965,25 +901,19 @@
                     };
                     Box::pin(fut)
                 }
-                _ => {
-                    Box::pin(async move {
-                        let mut response = http::Response::new(
-                            tonic::body::Body::default(),
-                        );
-                        let headers = response.headers_mut();
-                        headers
-                            .insert(
-                                tonic::Status::GRPC_STATUS,
-                                (tonic::Code::Unimplemented as i32).into(),
-                            );
-                        headers
-                            .insert(
-                                http::header::CONTENT_TYPE,
-                                tonic::metadata::GRPC_CONTENT_TYPE,
-                            );
-                        Ok(response)
-                    })
-                }
+                _ => Box::pin(async move {
+                    let mut response = http::Response::new(tonic::body::Body::default());
+                    let headers = response.headers_mut();
+                    headers.insert(
+                        tonic::Status::GRPC_STATUS,
+                        (tonic::Code::Unimplemented as i32).into(),
+                    );
+                    headers.insert(
+                        http::header::CONTENT_TYPE,
+                        tonic::metadata::GRPC_CONTENT_TYPE,
+                    );
+                    Ok(response)
+                }),
             }
         }
     }
--- a/src/node/follow.rs
+++ b/src/node/follow.rs
@@ -211,4 +211,3 @@
         stays.filter(here).map(|vm| Arc::clone(&vm.address)).min()
     }
 }
-
--- a/src/node/listen.rs
+++ b/src/node/listen.rs
@@ -19,11 +19,7 @@
 use crate::{
     error::Error,
     fleet::{Body, TOKEN_HEADER, box_body, codec::fleet_server::FleetServer, empty},
-    node::{
-        Core,
-        service::Service,
-        stream::watch,
-    },
+    node::{Core, service::Service, stream::watch},
     proxy::{ATTEMPT_HEADER, Attempt},
 };
 
--- a/src/node/service.rs
+++ b/src/node/service.rs
@@ -11,9 +11,9 @@
 use crate::{
     config::Digest,
     fleet::codec::{
-        BorrowReply, BorrowRequest, DrawReply, DrawRequest, FetchReply, FetchRequest, MembersReply, MembersRequest,
-        Resolution as Wire, ResolveReply, ResolveRequest, StatusReply, StatusRequest, VmStatus,
-        fleet_server::Fleet,
+        BorrowReply, BorrowRequest, DrawReply, DrawRequest, FetchReply, FetchRequest, MembersReply,
+        MembersRequest, Resolution as Wire, ResolveReply, ResolveRequest, StatusReply,
+        StatusRequest, VmStatus, fleet_server::Fleet,
     },
     node::{Core, Shared},
     policy::{
--- a/src/policy/outlook.rs
+++ b/src/policy/outlook.rs
@@ -140,7 +140,10 @@
             Ending::Abandoned => running_weight(took, sample.usual),
         });
         if ending == Ending::Good {
-            let time = self.times.entry(class).or_insert(sample.usual.as_secs_f64());
+            let time = self
+                .times
+                .entry(class)
+                .or_insert(sample.usual.as_secs_f64());
             *time += CLASS_WEIGHT * (took.as_secs_f64() - *time);
         }
     }
--- a/src/proxy/course.rs
+++ b/src/proxy/course.rs
@@ -132,7 +132,9 @@
             let attempt = course.next().await?;
             running.push(attempt);
         }
-        let wait = course.second.map(|at| at.saturating_duration_since(job.core.clock.now()));
+        let wait = course
+            .second
+            .map(|at| at.saturating_duration_since(job.core.clock.now()));
         let ended = match wait {
             None => running.next().await,
             Some(wait) => match timeout(wait, running.next()).await {
@@ -159,9 +161,8 @@
             // What was to run beside another attempt runs elsewhere, if there is a free slot.
             Next::Elsewhere if !running.is_empty() => running.extend(course.beside()),
             Next::Elsewhere if course.refusals < MOST_REFUSALS && !job.over() => {}
-            Next::Repeat if !running.is_empty() => {}
+            Next::Repeat | Next::Stop if !running.is_empty() => {}
             Next::Repeat if course.may_send() && job.core.entry.may_repeat(job).await => {}
-            Next::Stop if !running.is_empty() => {}
             _ => return None,
         }
     }
@@ -256,11 +257,18 @@
         let now = self.job.core.clock.now();
         let order = |t: &TargetView| {
             let farther = if t.near { 0.0 } else { FAR_LOAD };
-            (t.failing, t.total(now) / f64::from(t.slots.max(1)) + farther)
+            (
+                t.failing,
+                t.total(now) / f64::from(t.slots.max(1)) + farther,
+            )
         };
         let least = (0..self.busy.len())
             .filter(|i| fits(&self.busy[*i]))
-            .min_by(|a, b| order(&self.busy[*a]).partial_cmp(&order(&self.busy[*b])).unwrap())?;
+            .min_by(|a, b| {
+                order(&self.busy[*a])
+                    .partial_cmp(&order(&self.busy[*b]))
+                    .unwrap()
+            })?;
         Some(self.busy.swap_remove(least))
     }
 
--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -85,10 +85,9 @@
             find(core, &view, &host, parts.uri.path(), &parts.headers, fresh).map_err(refused)?;
         if let Some((organisation, _)) = &caller
             && core.feed.is_some()
+            && !core.quota.draw(core, organisation).await
         {
-            if !core.quota.draw(core, organisation).await {
-                return Err(refused(Code::RateSpent));
-            }
+            return Err(refused(Code::RateSpent));
         }
         // A call of this VM's target belongs to a request that runs there; which one, it does not say.
         if matched.access() == Access::Open
--- a/src/proxy/guard.rs
+++ b/src/proxy/guard.rs
@@ -44,7 +44,6 @@
 /// A request is not started with less time left than this.
 const LEAST_LEFT: Duration = Duration::from_millis(1);
 
-
 value! {
     /// What an answer from a guard is.
     pub enum Verdict {
@@ -387,7 +386,10 @@
         }
     };
     let refused = refused_by_target(&core.dialect, &response);
-    let echo = core.dialect.echoed().map(|name| response.headers().get(name));
+    let echo = core
+        .dialect
+        .echoed()
+        .map(|name| response.headers().get(name));
     // A refusal may come without the name of what it refuses.
     if let Some(echo) = echo
         && echo != named.as_ref()
@@ -462,5 +464,6 @@
 fn closes(response: &Response<Incoming>) -> bool {
     let connection = response.headers().get(header::CONNECTION);
     let text = connection.and_then(|v| v.to_str().ok()).unwrap_or("");
-    text.split(',').any(|t| t.trim().eq_ignore_ascii_case("close"))
+    text.split(',')
+        .any(|t| t.trim().eq_ignore_ascii_case("close"))
 }
--- a/src/proxy/quota.rs
+++ b/src/proxy/quota.rs
@@ -163,7 +163,10 @@
     async fn borrow(&self, core: &Core, organisation: &Organisation) -> u32 {
         let name = &organisation.name;
         let now = core.clock.now();
-        if lock(&self.pauses).get(name).is_some_and(|until| now < *until) {
+        if lock(&self.pauses)
+            .get(name)
+            .is_some_and(|until| now < *until)
+        {
             return 0;
         }
         let mut far = core.view.load().far.clone();
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -143,13 +143,17 @@
     }
 }
 
-fn no_file() -> Deployed {
-    Deployed {
-        grace_s: DEFAULT_GRACE_S,
-        idle_s: DEFAULT_IDLE_S,
-        floor: DEFAULT_FLOOR,
-        retry_share: DEFAULT_RETRY_SHARE,
-        ..Deployed::default()
+/// Returns what holds without a file.
+fn without_file() -> Raw {
+    Raw {
+        deployment: Deployed {
+            grace_s: DEFAULT_GRACE_S,
+            idle_s: DEFAULT_IDLE_S,
+            floor: DEFAULT_FLOOR,
+            retry_share: DEFAULT_RETRY_SHARE,
+            ..Deployed::default()
+        },
+        ..Raw::default()
     }
 }
 
@@ -160,17 +164,11 @@
 pub fn load(args: &NodeArgs) -> Result<Settings, Error> {
     let mut found = Findings::default();
     let file = match &args.settings {
-        None => Raw {
-            deployment: no_file(),
-            ..Raw::default()
-        },
+        None => without_file(),
         Some(path) => {
             let text = read(path)?;
             let source = Source::new(path, &text);
-            let raw = source.object().map(raw).unwrap_or_else(|| Raw {
-                deployment: no_file(),
-                ..Raw::default()
-            });
+            let raw = source.object().map_or_else(without_file, raw);
             found.0.extend(source.findings().0);
             raw
         }
--- a/tests/gray.rs
+++ b/tests/gray.rs
@@ -1,7 +1,10 @@
 //! Decisions where routes state objectives and the deployment states bounds: evidence, pace, parts of
 //! quotas, retry budgets, ranks in queues, and the gate.
 
-use std::{sync::Arc, time::Duration, time::Instant};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use marjoramdyke::{
     clock::{Clock, ManualClock},
@@ -27,6 +30,10 @@
     Duration::from_millis(millis)
 }
 
+fn count<T>(items: impl Iterator<Item = T>) -> f64 {
+    f64::from(u32::try_from(items.count()).unwrap())
+}
+
 /// An outlook that has seen good answers of 800 ms, the last of them long ago.
 fn known(now: Instant) -> Outlook {
     let mut outlook = Outlook::default();
@@ -123,9 +130,12 @@
         for (i, first) in starts.iter().enumerate() {
             let within = starts[i..].iter().take_while(|s| **s < *first + ms(1_000));
             let most = 1.5 * rate + 5.0;
-            assert!(within.count() as f64 <= most, "seed {seed}");
+            assert!(count(within) <= most, "seed {seed}");
         }
-        assert!(starts.len() > 400, "seed {seed}: the pace starves the target");
+        assert!(
+            starts.len() > 400,
+            "seed {seed}: the pace starves the target"
+        );
     }
 }
 
@@ -172,7 +182,7 @@
         let most = (rate * 5.0 + f64::from(burst)) * 1.1 + 20.0;
         for (i, first) in granted.iter().enumerate() {
             let within = granted[i..].iter().take_while(|at| **at < first + 5_000);
-            assert!(within.count() as f64 <= most, "seed {seed}");
+            assert!(count(within) <= most, "seed {seed}");
         }
     }
 }
