A refusal is told only if no attempt may have run

Found by reading: an idempotent request whose first attempt may have run and whose second one was refused got 503, which promises that it has not run.

--- a/src/proxy/course.rs
+++ b/src/proxy/course.rs
@@ -79,8 +79,10 @@
     patient_until: Instant,
     /// A target's own error, which is passed on if nobody else does better.
     failed: Option<Response<Body>>,
+    /// How the last attempt ended that may have run.
+    broken: Option<Code>,
+    /// The last true refusal, and when the request may come back.
     last: (Code, Option<Duration>),
-    outcome: Outcome,
 }
 
 /// What is to be done after an attempt.
@@ -109,8 +111,8 @@
         near_waited: false,
         patient_until: job.core.clock.now() + KEEPER_PATIENCE,
         failed: None,
+        broken: None,
         last: (Code::NoTarget, None),
-        outcome: Outcome::NotRun,
     };
     let answer = tokio::select! {
         answer = drive(&mut course) => answer,
@@ -140,15 +142,7 @@
             Some(wait) => match timeout(wait, running.next()).await {
                 Ok(ended) => ended,
                 Err(_) => {
-                    course.second = None;
-                    if course.may_send()
-                        && job.core.entry.may_repeat(job).await
-                        && let Some(attempt) = course.beside()
-                    {
-                        let request = job.name.as_str();
-                        spdlog::info!("second attempt beside a slow one", kv: { request });
-                        running.push(attempt);
-                    }
+                    running.extend(course.second().await);
                     continue;
                 }
             },
@@ -184,6 +178,17 @@
         (useful && soon).then_some(due.max(first))
     }
 
+    /// Returns an attempt beside one that takes long, if the budget has one.
+    async fn second(&mut self) -> Option<BoxFuture<'j, Ended>> {
+        self.second = None;
+        if !self.may_send() || !self.job.core.entry.may_repeat(self.job).await {
+            return None;
+        }
+        let request = self.job.name.as_str();
+        spdlog::info!("second attempt beside a slow one", kv: { request });
+        self.beside()
+    }
+
     /// Returns the next attempt, if there is a target and a body for one.
     async fn next(&mut self) -> Option<BoxFuture<'j, Ended>> {
         let job = self.job;
@@ -316,8 +321,7 @@
             }
             Ok(response) => Next::Answer(response),
             Err(code) => {
-                self.last = (code, None);
-                self.outcome = Outcome::Unknown;
+                self.broken = Some(code);
                 match self.job.idempotent && !self.job.over() {
                     true => Next::Repeat,
                     false => Next::Stop,
@@ -367,16 +371,22 @@
 
     /// Answers for a node that must end before the request does.
     fn break_off(self) -> Response<Body> {
-        match self.sent {
-            0 => refuse(Code::Stopping, Outcome::NotRun, None),
-            _ => refuse(Code::AnswerLost, Outcome::Unknown, None),
+        match self.sent == 0 && self.broken.is_none() {
+            true => refuse(Code::Stopping, Outcome::NotRun, None),
+            false => refuse(Code::AnswerLost, Outcome::Unknown, None),
         }
     }
 
+    /// Answers when no attempt is left. A refusal is told only if no attempt may have run.
     fn give_up(self) -> Response<Body> {
+        if let Some(response) = self.failed {
+            return response;
+        }
         let (code, due) = self.last;
-        self.failed
-            .unwrap_or_else(|| refuse(code, self.outcome, due))
+        match self.broken {
+            Some(code) => refuse(code, Outcome::Unknown, None),
+            None => refuse(code, Outcome::NotRun, due),
+        }
     }
 }
 
