Idempotent requests go on elsewhere when their guard ends

LOST on mix (Heredia): entry and guard were told to stop one after the other, and the guard ended with the request. Ruled out for it: the entry's own end (4.3 s after the signal, of 5.4 s).

--- a/src/proxy/course.rs
+++ b/src/proxy/course.rs
@@ -322,6 +322,10 @@
             Ok(response) => Next::Answer(response),
             Err(code) => {
                 self.broken = Some(code);
+                // A node that ends takes its exchanges with it; that is no reason to stop trying.
+                if code == Code::AnswerLost && !self.job.core.entry.is_listed(self.job, target) {
+                    self.sent -= 1;
+                }
                 match self.job.idempotent && !self.job.over() {
                     true => Next::Repeat,
                     false => Next::Stop,
