--- a/src/proxy/course.rs
+++ b/src/proxy/course.rs
@@ -18,7 +18,7 @@
         Code, OUTCOME_HEADER, Outcome,
         answer::refuse,
         attempt::{INTERNAL_PREFIX, PUBLIC_PREFIX, drop_prefix},
-        dispatch::{echoes, note_load},
+        dispatch::{echoes, is_listed, note_load},
         head::HOP_BY_HOP,
         job::{Job, Tried, whole_millis},
         payload::{HELD_ANSWER_BYTES, HELD_BYTES, Payload, hold_answer},
@@ -323,7 +323,7 @@
             Err(code) => {
                 self.broken = Some(code);
                 // A node that ends takes its exchanges with it; that is no reason to stop trying.
-                if code == Code::AnswerLost && !self.job.core.entry.is_listed(self.job, target) {
+                if code == Code::AnswerLost && !is_listed(self.job, target) {
                     self.sent -= 1;
                 }
                 match self.job.idempotent && !self.job.over() {
--- a/src/proxy/dispatch.rs
+++ b/src/proxy/dispatch.rs
@@ -110,13 +110,6 @@
         pick(&candidates, &mut rng()).map(|i| open[i].clone())
     }
 
-    /// Tells whether a target still gets new work: its guard is alive and stays, and so does it.
-    pub(super) fn is_listed(&self, job: &Job, target: &TargetView) -> bool {
-        let view = job.core.view.load();
-        let service = view.services.get(job.matched.service.name.as_str());
-        service.is_some_and(|s| s.targets.iter().any(|t| t.id == target.id))
-    }
-
     fn path(&self, vm: &Arc<str>, worked: bool, now: Instant) {
         let mut paths = self.paths.lock().unwrap_or_else(PoisonError::into_inner);
         let path = paths.entry(Arc::clone(vm)).or_default();
@@ -249,6 +242,13 @@
     }
 }
 
+/// Tells whether a target still gets new work: its guard is alive and stays, and so does it.
+pub(super) fn is_listed(job: &Job, target: &TargetView) -> bool {
+    let view = job.core.view.load();
+    let service = view.services.get(job.matched.service.name.as_str());
+    service.is_some_and(|s| s.targets.iter().any(|t| t.id == target.id))
+}
+
 fn absolute(address: &str, uri: &Uri) -> Uri {
     let path = uri.path_and_query().map_or("/", |p| p.as_str());
     Uri::builder()
