--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -305,6 +305,12 @@
         !self.stopping() && shared.fresh.fresh(now) && (in_touch || waited)
     }
 
+    /// Returns when the node started.
+    #[must_use]
+    pub fn started(&self) -> Instant {
+        self.shared().fresh.started()
+    }
+
     /// Tells whether callers are served: the node is ready, and listens for them.
     #[must_use]
     pub fn serves(&self) -> bool {
--- a/src/policy/share.rs
+++ b/src/policy/share.rs
@@ -6,8 +6,8 @@
 use std::time::Instant;
 
 /// Share of the excess that is handed out; the rest covers two nodes that both take themselves for
-/// the holder of a part for a moment.
-const USED_EXCESS: f64 = 0.5;
+/// the holder of a part for a moment, and nodes that reach no holder.
+const USED_EXCESS: f64 = 0.25;
 
 /// Share of its burst that a part starts with, since an earlier holder may have granted the rest.
 const START_SHARE: f64 = 0.2;
@@ -45,7 +45,7 @@
         let parts = f64::from(parts.max(1));
         Self {
             rate: rate * (1.0 + USED_EXCESS * excess.share) / parts,
-            burst: (f64::from(burst) + USED_EXCESS * excess.requests) / parts,
+            burst: ((f64::from(burst) + USED_EXCESS * excess.requests) / parts).max(1.0),
         }
     }
 }
--- a/src/proxy/quota.rs
+++ b/src/proxy/quota.rs
@@ -28,6 +28,14 @@
 /// Nodes that are asked before this one grants from its own small part.
 const MOST_ASKED: usize = 2;
 
+/// How much smaller than a node's equal part that is: the holders may grant the whole meanwhile, so
+/// that all own parts together have to fit into the excess.
+const OWN_PARTS: u32 = 4;
+
+/// How long after its start a node holds no part: until it has heard of the others it takes itself for
+/// the holder of every part, and after a loss of power so do all.
+const SETTLED_AFTER: Duration = Duration::from_secs(1);
+
 /// How long the part of another data centre is waited for.
 const BORROW_TIMEOUT: Duration = Duration::from_millis(50);
 
@@ -131,16 +139,28 @@
         match draw_near(core, &organisation.name, &request).await {
             Holder::Other(granted) => granted,
             Holder::This => self.grant(core, organisation).await,
-            Holder::Nobody => {
-                let nodes = core.view.load().nodes;
-                with(&self.own, core, organisation, nodes, Part::draw)
-            }
+            Holder::Nobody => self.draw_own(core, organisation),
         }
     }
 
+    /// Draws from the small part of this node alone.
+    fn draw_own(&self, core: &Core, organisation: &Organisation) -> bool {
+        let nodes = core
+            .settings
+            .data_centres
+            .len()
+            .max(core.view.load().nodes as usize);
+        let nodes = u32::try_from(nodes).unwrap_or(u32::MAX);
+        let count = OWN_PARTS.saturating_mul(nodes);
+        with(&self.own, core, organisation, count, Part::draw)
+    }
+
     /// Grants one request from the part that this node holds for its data centre, or from that of
     /// another one, if one is left.
     pub async fn grant(&self, core: &Core, organisation: &Organisation) -> bool {
+        if core.clock.now() < core.started() + SETTLED_AFTER {
+            return self.draw_own(core, organisation);
+        }
         let count = data_centres(core);
         if with(&self.held, core, organisation, count, Part::draw) {
             return true;
