--- a/src/proxy/quota.rs
+++ b/src/proxy/quota.rs
@@ -32,8 +32,8 @@
 /// that all own parts together have to fit into the excess.
 const OWN_PARTS: u32 = 4;
 
-/// How long after its start a node holds no part: until it has heard of the others it takes itself for
-/// the holder of every part, and after a loss of power so do all.
+/// How long after its start a node that has heard of no other in its data centre holds no part: it
+/// takes itself for the holder of every part, and after a loss of power so do all.
 const SETTLED_AFTER: Duration = Duration::from_secs(1);
 
 /// How long the part of another data centre is waited for.
@@ -158,7 +158,8 @@
     /// Grants one request from the part that this node holds for its data centre, or from that of
     /// another one, if one is left.
     pub async fn grant(&self, core: &Core, organisation: &Organisation) -> bool {
-        if core.clock.now() < core.started() + SETTLED_AFTER {
+        let alone = core.view.load().near.len() <= 1;
+        if alone && core.clock.now() < core.started() + SETTLED_AFTER {
             return self.draw_own(core, organisation);
         }
         let count = data_centres(core);
