--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -1,6 +1,6 @@
 //! A platform that is reached by HTTP with JSON bodies.
 
-use std::{fmt::Display, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{Method, Request, StatusCode, header};
@@ -9,8 +9,8 @@
 use serde_json::json;
 
 use crate::{
-    net::{NetError, exchange},
-    platform::{Platform, PlatformError},
+    net::exchange,
+    platform::{Platform, PlatformError, expect, malformed},
 };
 
 /// Longest wait for one call.
@@ -92,19 +92,5 @@
         .map_err(malformed)?;
     exchange(base, request, CALL_TIMEOUT)
         .await
-        .map_err(|error| match error {
-            NetError::Connect(e) => PlatformError::Unreachable(e.to_string()),
-            other => PlatformError::NoAnswer(other.to_string()),
-        })
-}
-
-fn expect(status: StatusCode) -> Result<(), PlatformError> {
-    if status.is_success() {
-        return Ok(());
-    }
-    Err(PlatformError::NoAnswer(format!("status {status}")))
-}
-
-fn malformed(error: impl Display) -> PlatformError {
-    PlatformError::Malformed(error.to_string())
+        .map_err(PlatformError::from)
 }
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -4,13 +4,15 @@
 
 mod client;
 
-use std::sync::Arc;
+use std::{fmt::Display, sync::Arc};
 
 use bytes::Bytes;
 use futures::future::BoxFuture;
+use http::StatusCode;
 use thiserror::Error;
 
 pub use self::client::http_platform;
+use crate::net::NetError;
 
 /// Why a call to the platform failed.
 #[derive(Debug, Clone, Error)]
@@ -26,6 +28,31 @@
     Malformed(String),
 }
 
+impl From<NetError> for PlatformError {
+    fn from(error: NetError) -> Self {
+        match error {
+            NetError::Connect(e) => Self::Unreachable(e.to_string()),
+            other => Self::NoAnswer(other.to_string()),
+        }
+    }
+}
+
+/// Returns the error of an answer that is not what was agreed.
+pub fn malformed(error: impl Display) -> PlatformError {
+    PlatformError::Malformed(error.to_string())
+}
+
+/// Checks that a call was carried out.
+///
+/// # Errors
+/// [`PlatformError::NoAnswer`] with any other status.
+pub fn expect(status: StatusCode) -> Result<(), PlatformError> {
+    if status.is_success() {
+        return Ok(());
+    }
+    Err(PlatformError::NoAnswer(format!("status {status}")))
+}
+
 section! {
     /// A row of the table.
     pub struct Row {
--- a/src/proxy/guard.rs
+++ b/src/proxy/guard.rs
@@ -27,6 +27,7 @@
         answer::refuse,
         attempt::{ATTEMPT_HEADER, Attempt},
         gate::{Permit, Wish},
+        job::whole_millis,
         target::Exchange,
         watch::{End, Watched},
     },
@@ -292,8 +293,9 @@
         parts.headers.insert(header::HOST, host);
     }
     let left = deadline.saturating_duration_since(core.clock.now());
-    let left = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
-    parts.headers.insert(&dialect.left, left.into());
+    parts
+        .headers
+        .insert(&dialect.left, whole_millis(left).into());
     name_caller(dialect, &mut parts.headers, attempt);
     Request::from_parts(parts, body)
 }
@@ -355,7 +357,7 @@
     let core = Arc::clone(&ticket.core);
     let sent = core.clock.now();
     let class = Class {
-        objective: u64::try_from(attempt.objective.as_millis()).unwrap_or(u64::MAX),
+        objective: whole_millis(attempt.objective),
         idempotent: attempt.idempotent,
     };
     let class = (class.objective > 0).then_some(class);
@@ -447,7 +449,7 @@
 fn note(attempt: &Attempt, what: &str, took: Duration, detail: &str) {
     let request = attempt.request.as_str();
     let target = attempt.target.as_str();
-    let took_ms = u64::try_from(took.as_millis()).unwrap_or(u64::MAX);
+    let took_ms = whole_millis(took);
     spdlog::warn!("target {}", what, kv: { request, target, took_ms, detail });
 }
 
--- a/src/proxy/job.rs
+++ b/src/proxy/job.rs
@@ -57,7 +57,7 @@
     }
 }
 
-/// Returns a duration in whole milliseconds, for logs.
+/// Returns a duration in whole milliseconds, for headers and logs.
 pub(super) fn whole_millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/src/proxy/quota.rs
+++ b/src/proxy/quota.rs
@@ -7,7 +7,7 @@
     cmp::Reverse,
     collections::HashMap,
     hash::{DefaultHasher, Hash, Hasher},
-    sync::{Mutex, MutexGuard, PoisonError},
+    sync::Mutex,
     time::{Duration, Instant},
 };
 
@@ -20,6 +20,7 @@
     fleet::codec::{DrawReply, DrawRequest},
     node::Core,
     policy::share::{Part, Size},
+    proxy::rates::lock,
 };
 
 /// How long one holder is waited for; many times what an exchange within a data centre takes.
@@ -214,10 +215,6 @@
     }
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 async fn ask(core: &Core, holder: &VmView, request: DrawRequest) -> Option<DrawReply> {
     let link = core.links.get(&holder.address).await.ok()?;
     let reply = link.client(&holder.address).draw(request).await.ok()?;
--- a/src/proxy/rates.rs
+++ b/src/proxy/rates.rs
@@ -78,7 +78,8 @@
     pub denials: AtomicU64,
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+/// Locks what is whole between any two changes, so that a panic elsewhere does no harm.
+pub(super) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
--- a/src/proxy/repeats.rs
+++ b/src/proxy/repeats.rs
@@ -4,17 +4,17 @@
 //! A part is held like that of a quota. Nodes tell its holder how many requests they took when they
 //! ask, so that what one node does not need is there for another that meets a failing target.
 
-use std::{
-    collections::HashMap,
-    sync::{Mutex, MutexGuard, PoisonError},
-};
+use std::{collections::HashMap, sync::Mutex};
 
 use crate::{
     config::Service,
     fleet::codec::DrawRequest,
     node::Core,
     policy::budget::{MOST_SAVED, RetryBudget},
-    proxy::quota::{Holder, draw_near},
+    proxy::{
+        quota::{Holder, draw_near},
+        rates::lock,
+    },
 };
 
 /// Share of the extra attempts that the fleet may save up which is handed out; the rest covers
@@ -62,10 +62,6 @@
     held: Mutex<HashMap<String, RetryBudget>>,
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 impl Repeats {
     /// Takes up that a request of a caller earns its share of a later repeat.
     pub fn earn(&self, service: &Service) {
