--- a/src/policy/bucket.rs
+++ b/src/policy/bucket.rs
@@ -24,6 +24,10 @@
 /// The share of what is left that one loan may take is one in this many a borrower.
 const BATCH_DIVISOR: f64 = 4.0;
 
+/// The same for a borrower that alone has asked of late. Each settlement loses what comes in during
+/// half a round trip while the bucket stands full, so fewer and larger loans lose less.
+const SOLE_DIVISOR: f64 = 2.0;
+
 /// Loans smaller than this, in thousandths of a token, are not worth a message.
 const LEAST_LOAN: u32 = 20;
 
@@ -235,8 +239,11 @@
 
     fn batch(&self) -> u32 {
         #[expect(clippy::cast_precision_loss)]
-        let askers = self.askers.len().max(1) as f64;
-        let share = (self.level / (BATCH_DIVISOR * askers)).max(1.0);
+        let parts = match self.askers.len() {
+            0 | 1 => SOLE_DIVISOR,
+            askers => BATCH_DIVISOR * askers as f64,
+        };
+        let share = (self.level / parts).max(1.0);
         let share = share.min(self.level) * f64::from(TOKEN);
         #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
         let batch = share as u32;
--- a/src/policy/loans.rs
+++ b/src/policy/loans.rs
@@ -197,8 +197,11 @@
     }
 
     /// Takes up that every keeper refused; the parts of a token that are held go back.
-    pub fn refuse(&mut self, due: Duration, now: Instant) {
-        self.refused = Some(now + due.min(LONGEST_REFUSAL));
+    ///
+    /// `asked` is when the first keeper was asked, so that what comes in while the answers are under
+    /// way counts.
+    pub fn refuse(&mut self, due: Duration, asked: Instant) {
+        self.refused = Some(asked + due.min(LONGEST_REFUSAL));
         self.closed.append(&mut self.loans);
     }
 
--- a/src/proxy/rates.rs
+++ b/src/proxy/rates.rs
@@ -26,6 +26,10 @@
 /// How long one keeper is waited for.
 const ASK_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// How often all keepers are asked for one request: a second time where a token became due while
+/// the answers were under way.
+const ASK_ROUNDS: u32 = 2;
+
 /// Spent loans are settled at once when the burst is below this many terms of the rate.
 const PROMPT_BELOW: f64 = 10.0;
 
@@ -139,6 +143,30 @@
         organisation: &Organisation,
         cell: &Cell,
     ) -> Result<Instant, Refusal> {
+        let mut due = Duration::ZERO;
+        for _ in 0..ASK_ROUNDS {
+            let asked = core.clock.now();
+            if let Some(result) = self.ask_all(core, organisation, cell).await {
+                return result;
+            }
+            let mut account = lock(&cell.account);
+            let account = account.get_or_insert_with(|| Account::new(asked));
+            due = account.due(organisation.rate);
+            account.refuse(due, asked);
+            if core.clock.now() < asked + due {
+                break;
+            }
+        }
+        Err((Code::RateSpent, Some(due)))
+    }
+
+    /// Asks the keepers of all slices once; `None` when those that answered have too little.
+    async fn ask_all(
+        &self,
+        core: &Core,
+        organisation: &Organisation,
+        cell: &Cell,
+    ) -> Option<Result<Instant, Refusal>> {
         let mut answered = false;
         let order = order(core, cell, organisation);
         for (i, (slice, keeper)) in order.iter().enumerate() {
@@ -150,7 +178,7 @@
             match reply.refusal() {
                 BorrowRefusal::None => {
                     if let Some(result) = try_take(core, cell) {
-                        return result;
+                        return Some(result);
                     }
                     answered = true;
                 }
@@ -158,15 +186,7 @@
                 BorrowRefusal::NotKeeper | BorrowRefusal::Stale => {}
             }
         }
-        if !answered {
-            return Err((Code::RateUnreachable, None));
-        }
-        let now = core.clock.now();
-        let mut account = lock(&cell.account);
-        let account = account.get_or_insert_with(|| Account::new(now));
-        let due = account.due(organisation.rate);
-        account.refuse(due, now);
-        Err((Code::RateSpent, Some(due)))
+        (!answered).then_some(Err((Code::RateUnreachable, None)))
     }
 
     async fn ask(
--- a/tests/rates.rs
+++ b/tests/rates.rs
@@ -115,6 +115,8 @@
     /// The sequence of the request that is out, and the slices still to be asked.
     asking: Option<(u64, u32, Vec<u32>)>,
     answered: bool,
+    /// When the first keeper of this round was asked.
+    asked: Instant,
     paused: bool,
     held: Vec<Event>,
     born: u64,
@@ -148,6 +150,7 @@
                 waiting: 0,
                 asking: None,
                 answered: false,
+                asked: zero,
                 paused: false,
                 held: Vec::new(),
                 born: i as u64,
@@ -323,6 +326,7 @@
                         let order = self.order(guard);
                         self.guards[guard].asking = Some((0, 0, order));
                         self.guards[guard].answered = false;
+                        self.guards[guard].asked = self.now;
                         self.ask_next(guard);
                     }
                     return;
@@ -365,7 +369,8 @@
             let state = &mut self.guards[guard];
             if state.answered {
                 let due = state.account.due(self.world.rate);
-                state.account.refuse(due, clock);
+                let asked = self.zero + (state.asked - self.zero).mul_f64(1.0 - state.drift);
+                state.account.refuse(due, asked);
             } else {
                 let lost = std::mem::take(&mut state.waiting);
                 self.refused.extend((0..lost).map(|_| self.now));
