Half of the requests that a window may have on top goes into the rate

Half of the requests on top is now added to the rate, over the window's length, which the settings name.

A refusal by quota is now logged at its entry with the organisation, and at the holder with what the part had.

--- a/src/policy/share.rs
+++ b/src/policy/share.rs
@@ -9,6 +9,9 @@
 /// the holder of a part for a moment, and nodes that reach no holder.
 const USED_EXCESS: f64 = 0.25;
 
+/// Share of the requests that each window may have on top, that is added to the rate.
+const USED_STEADILY: f64 = 0.5;
+
 /// Share of its burst that a part starts with, since an earlier holder may have granted the rest.
 const START_SHARE: f64 = 0.2;
 
@@ -19,6 +22,8 @@
         pub requests: f64,
         /// Share of what rate and burst allow in a window that may come on top.
         pub share: f64,
+        /// Length of a window in seconds.
+        pub window: f64,
     }
 }
 
@@ -43,8 +48,9 @@
     #[must_use]
     pub fn of(rate: f64, burst: u32, excess: &Excess, parts: u32) -> Self {
         let parts = f64::from(parts.max(1));
+        let steady = USED_STEADILY * excess.requests / excess.window;
         Self {
-            rate: rate * (1.0 + USED_EXCESS * excess.share) / parts,
+            rate: (rate * (1.0 + USED_EXCESS * excess.share) + steady) / parts,
             burst: ((f64::from(burst) + USED_EXCESS * excess.requests) / parts).max(1.0),
         }
     }
@@ -82,6 +88,12 @@
         lent
     }
 
+    /// Returns how many requests are left, as of the last draw.
+    #[must_use]
+    pub fn left(&self) -> f64 {
+        self.tokens
+    }
+
     /// Takes up what another part lent.
     pub fn receive(&mut self, lent: u32) {
         self.tokens += f64::from(lent);
--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -87,6 +87,8 @@
             && core.feed.is_some()
             && !core.quota.draw(core, organisation).await
         {
+            let (request, organisation) = (name.as_str(), organisation.name.as_str());
+            spdlog::info!("quota refused", kv: { request, organisation });
             return Err(refused(Code::RateSpent));
         }
         // A call of this VM's target belongs to a request that runs there; which one, it does not say.
--- a/src/proxy/quota.rs
+++ b/src/proxy/quota.rs
@@ -170,7 +170,13 @@
         let lent = self.borrow(core, organisation).await;
         with(&self.held, core, organisation, count, |part, size, now| {
             part.receive(lent);
-            part.draw(size, now)
+            let granted = part.draw(size, now);
+            if !granted {
+                let (name, left) = (organisation.name.as_str(), part.left());
+                let (rate, burst) = (size.rate, size.burst);
+                spdlog::info!("part of a quota spent", kv: { organisation = name, left, rate, burst });
+            }
+            granted
         })
     }
 
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -112,6 +112,7 @@
     data_centres: Vec<String>,
     quota_slack: f64,
     quota_overage: f64,
+    quota_window_s: f64,
     grace_s: f64,
     idle_s: f64,
     floor: f64,
@@ -135,6 +136,7 @@
             .collect(),
         quota_slack: fields.number("quota_slack", 0.0..=f64::from(MOST), 0.0),
         quota_overage: fields.number("quota_overage", 0.0..=1.0, 0.0),
+        quota_window_s: fields.number("quota_window_s", 0.1..=3600.0, 5.0),
         grace_s: fields.number("grace_s", 0.0..=LONGEST_S, DEFAULT_GRACE_S),
         idle_s: fields.number("idle_s", 1.0..=LONGEST_S, DEFAULT_IDLE_S),
         floor: fields.number("floor", 0.0..=1.0, DEFAULT_FLOOR),
@@ -273,6 +275,7 @@
         excess: Excess {
             requests: given.quota_slack,
             share: given.quota_overage,
+            window: given.quota_window_s,
         },
         grace: Duration::from_secs_f64(given.grace_s),
         idle: Duration::from_secs_f64(given.idle_s),
--- a/tests/gray.rs
+++ b/tests/gray.rs
@@ -144,6 +144,7 @@
     let excess = Excess {
         requests: 20.0,
         share: 0.1,
+        window: 5.0,
     };
     let size = Size::of(rate, burst, &excess, 3);
     let start = Instant::now();
