An idempotent request whose guard ended goes before others elsewhere

The guard ended at the end of its grace period, 10.76 s, under a read that its target held; the entry tried it again, all slots were taken, and it waited 5.44 s behind others (0.6 of what it had left, which is where the figure comes from) until it was refused, three seconds after its entry had been told to stop as well. Ruled out: a link whose end was noticed late (pings end it within 1.5 s, and 5.44 s fits the wait exactly).

It now ranks with calls of targets when it waits again.

--- a/src/proxy/course.rs
+++ b/src/proxy/course.rs
@@ -14,6 +14,7 @@
 use crate::{
     board::TargetView,
     fleet::{Body, box_body},
+    policy::queue::Rank,
     proxy::{
         Code, OUTCOME_HEADER, Outcome,
         answer::refuse,
@@ -81,6 +82,9 @@
     failed: Option<Response<Body>>,
     /// How the last attempt ended that may have run.
     broken: Option<Code>,
+    /// Whether a node ended while it ran this request. It has waited once already, so that it goes
+    /// before those that wait elsewhere.
+    interrupted: bool,
     /// The last true refusal, and when the request may come back.
     last: (Code, Option<Duration>),
 }
@@ -112,6 +116,7 @@
         patient_until: job.core.clock.now() + KEEPER_PATIENCE,
         failed: None,
         broken: None,
+        interrupted: false,
         last: (Code::NoTarget, None),
     };
     let answer = tokio::select! {
@@ -287,13 +292,17 @@
         self.sent += 1;
         self.tried.push(Arc::clone(&target.id));
         let (job, number) = (self.job, self.number);
+        let rank = Rank {
+            outside: job.rank.outside && !self.interrupted,
+            ..job.rank
+        };
         Box::pin(async move {
             let begun = job.core.clock.now();
             let (load, slots, near) = (target.total(begun), target.slots, target.near);
             let request = (&job.headers, body);
             let entry = &job.core.entry;
             let tried = entry
-                .attempt(job, &target, (number, repeat), wait, request)
+                .attempt(job, &target, (number, repeat, rank), wait, request)
                 .await;
             let took = job.core.clock.now().saturating_duration_since(begun);
             let (request, result) = (job.name.as_str(), tried.result());
@@ -325,6 +334,7 @@
                 // A node that ends takes its exchanges with it; that is no reason to stop trying.
                 if code == Code::AnswerLost && !is_listed(self.job, target) {
                     self.sent -= 1;
+                    self.interrupted = true;
                 }
                 match self.job.idempotent && !self.job.over() {
                     true => Next::Repeat,
--- a/src/proxy/dispatch.rs
+++ b/src/proxy/dispatch.rs
@@ -15,6 +15,7 @@
     policy::{
         attempt::AttemptId,
         pick::{Candidate, pick},
+        queue::Rank,
     },
     proxy::{
         Code, Entry, Purpose,
@@ -125,7 +126,7 @@
         &self,
         job: &Job,
         target: &TargetView,
-        (number, repeat): (u32, bool),
+        (number, repeat, rank): (u32, bool, Rank),
         wait: Duration,
         (headers, body): (&HeaderMap, Body),
     ) -> Tried {
@@ -147,7 +148,7 @@
             repeat,
             host: job.host.clone(),
             request: job.name.clone(),
-            rank: job.rank,
+            rank,
             wait,
             objective: job.objective(),
         };
--- a/src/proxy/resume.rs
+++ b/src/proxy/resume.rs
@@ -86,7 +86,13 @@
         let tried = job
             .core
             .entry
-            .attempt(&job, &target, (1, true), job.left(), (&headers, empty()))
+            .attempt(
+                &job,
+                &target,
+                (1, true, job.rank),
+                job.left(),
+                (&headers, empty()),
+            )
             .await;
         let response = match tried {
             Tried::Answer(response, _) => response.map(box_body),
