A target that is out but kept in by the floor gets a trial each half second

Ruled out: a late or weak test (two errors sufficed), evidence that lapses between them.

Where the floor keeps such a target in, its guard now lets one idempotent request in each half second, which tells when it is well again and keeps it in use, and sends others elsewhere; one that was refused everywhere and comes back to wait runs there. The new test fails before (18 instead of 2 in a second).

--- a/src/proxy/course.rs
+++ b/src/proxy/course.rs
@@ -357,10 +357,12 @@
             }
             Code::Busy => self.busy.push(target.clone()),
             // It is asked again, and has to take the request, if all others refuse.
-            Code::Doubtful => self.busy.push(TargetView {
-                failing: true,
-                ..target.clone()
-            }),
+            Code::Doubtful | Code::Ejected if code == Code::Doubtful || target.failing => {
+                self.busy.push(TargetView {
+                    failing: true,
+                    ..target.clone()
+                })
+            }
             Code::Overloaded if !self.waited => self.busy.push(target.clone()),
             // It has waited its share of the time; what is left is too short for the work.
             Code::Overloaded => {
--- a/src/proxy/gate.rs
+++ b/src/proxy/gate.rs
@@ -239,7 +239,7 @@
         if now >= target.lease || target.said.leaving || target.said.service != wish.service {
             return Err(Code::NoTarget);
         }
-        if target.out(now) && !wish.floor {
+        if target.out(now) && !wish.may_run_out(target, now) {
             return Err(Code::Ejected);
         }
         if wish.careful && !wish.floor && target.doubtful(now) {
@@ -386,6 +386,15 @@
     pub floor: bool,
 }
 
+impl Wish<'_> {
+    /// Tells whether the request may run at a target that is out: where the floor keeps it in, as a
+    /// trial now and then, or when it was refused elsewhere and comes back to wait.
+    fn may_run_out(&self, target: &mut Guarded, now: Instant) -> bool {
+        let waits = self.deadline > now;
+        self.floor && (waits || (!self.careful && target.try_out(now)))
+    }
+}
+
 enum Entered {
     At(Permit),
     Queue(oneshot::Receiver<Permit>),
--- a/src/proxy/guarded.rs
+++ b/src/proxy/guarded.rs
@@ -23,6 +23,10 @@
 /// How long a target that could not be connected to gets no requests.
 const UNREACHABLE_FOR: Duration = Duration::from_millis(1_000);
 
+/// How often a target that is out, but kept in by the floor, is tried with one request. The
+/// deployment counts a target as used that gets one in two seconds.
+const TRIAL_EVERY: Duration = Duration::from_millis(500);
+
 /// How late an announcement may arrive.
 const LATE_ANNOUNCEMENTS: Duration = Duration::from_secs(60);
 
@@ -87,6 +91,7 @@
     /// Whether the quick test has the target out, as it was last looked at.
     was_out: bool,
     unreachable_until: Option<Instant>,
+    next_trial: Instant,
     pub(super) running: usize,
     pub(super) connections: usize,
     exchanges: HashMap<u64, Exchanging>,
@@ -107,6 +112,7 @@
             outlook: Outlook::default(),
             was_out: false,
             unreachable_until: None,
+            next_trial: now,
             running: 0,
             connections: usize::MAX,
             exchanges: HashMap::new(),
@@ -192,6 +198,15 @@
         unreachable || self.detector.out() || self.outlook.out(now)
     }
 
+    /// Tells whether a request may be tried here although the target is out, and counts that trial.
+    pub(super) fn try_out(&mut self, now: Instant) -> bool {
+        let due = now >= self.next_trial;
+        if due {
+            self.next_trial = now + TRIAL_EVERY;
+        }
+        due
+    }
+
     /// Tells whether requests that need care should rather go elsewhere.
     pub(super) fn doubtful(&mut self, now: Instant) -> bool {
         self.outlook.doubtful(now)
--- a/tests/gray.rs
+++ b/tests/gray.rs
@@ -8,6 +8,7 @@
 
 use marjoramdyke::{
     clock::{Clock, ManualClock},
+    fleet::codec::TargetState,
     policy::{
         budget::RetryBudget,
         eject::Others,
@@ -364,3 +365,49 @@
     };
     gate.record(&first, Taken::Good(ms(3_000)), calm, clock.now());
 }
+
+#[tokio::test]
+async fn a_target_that_fails_is_only_tried_now_and_then_where_the_floor_keeps_it_in() {
+    let (clock, gate) = gate();
+    gate.announce(said(1), clock.now());
+    let calm = Others {
+        bad: 0.0,
+        latency: Duration::ZERO,
+    };
+    for _ in 0..4 {
+        let now = clock.now();
+        let plain = Wish {
+            careful: false,
+            ..wish(now)
+        };
+        let permit = gate.enter(&plain, now).await.unwrap();
+        gate.begin(&permit, Some(ORDER), false, now);
+        gate.record(&permit, Taken::Erred, calm, now);
+        drop(permit);
+        if gate.records(now)[0].state() == TargetState::Ejected {
+            break;
+        }
+    }
+    let kept_in = |careful, deadline| Wish {
+        careful,
+        floor: true,
+        ..wish(deadline)
+    };
+    let mut tried = 0;
+    for _ in 0..20 {
+        clock.advance(ms(50));
+        let now = clock.now();
+        let permit = gate.enter(&kept_in(false, now), now).await;
+        if let Ok(permit) = permit {
+            tried += 1;
+            gate.begin(&permit, Some(ORDER), false, now);
+            gate.record(&permit, Taken::Erred, calm, now);
+        }
+    }
+    assert_eq!(tried, 2, "trials in a second");
+    let now = clock.now();
+    let careful = gate.enter(&kept_in(true, now), now).await;
+    assert_eq!(careful.err(), Some(Code::Ejected), "no trial");
+    let waits = gate.enter(&kept_in(true, now + ms(100)), now).await;
+    assert!(waits.is_ok(), "nobody else took it");
+}
