A read whose guard ended is repeated even if the retry budget is spent

Ruled out: no target left (others of the service answered at that time), a lost link (its end takes 1 s to be noticed).

Such a repeat is now granted in any case and made up for by later ones, since it is the fleet that broke off.

--- a/src/proxy/course.rs
+++ b/src/proxy/course.rs
@@ -82,13 +82,21 @@
     failed: Option<Response<Body>>,
     /// How the last attempt ended that may have run.
     broken: Option<Code>,
-    /// Whether a node ended while it ran this request. It has waited once already, so that it goes
-    /// before those that wait elsewhere.
-    interrupted: bool,
+    interrupted: Interrupted,
     /// The last true refusal, and when the request may come back.
     last: (Code, Option<Duration>),
 }
 
+/// Whether a node ended while it ran the request, which has waited once then: it goes before those
+/// that wait elsewhere.
+#[derive(PartialEq)]
+enum Interrupted {
+    Never,
+    /// During the last attempt; the next one is granted in any case.
+    Now,
+    Before,
+}
+
 /// What is to be done after an attempt.
 enum Next {
     Answer(Response<Body>),
@@ -116,7 +124,7 @@
         patient_until: job.core.clock.now() + KEEPER_PATIENCE,
         failed: None,
         broken: None,
-        interrupted: false,
+        interrupted: Interrupted::Never,
         last: (Code::NoTarget, None),
     };
     let answer = tokio::select! {
@@ -161,7 +169,7 @@
             Next::Elsewhere if !running.is_empty() => running.extend(course.beside()),
             Next::Elsewhere if course.refusals < MOST_REFUSALS && !job.over() => {}
             Next::Repeat | Next::Stop if !running.is_empty() => {}
-            Next::Repeat if course.may_send() && job.core.entry.may_repeat(job).await => {}
+            Next::Repeat if course.may_send() && course.may_repeat().await => {}
             _ => return None,
         }
     }
@@ -172,6 +180,18 @@
         self.sent < self.job.matched.attempts().unwrap_or(MOST_SENT)
     }
 
+    /// Tells whether the request may run again, after it may have run.
+    async fn may_repeat(&mut self) -> bool {
+        let entry = &self.job.core.entry;
+        match self.interrupted {
+            Interrupted::Now => {
+                self.interrupted = Interrupted::Before;
+                entry.repeat_interrupted(self.job).await
+            }
+            Interrupted::Never | Interrupted::Before => entry.may_repeat(self.job).await,
+        }
+    }
+
     /// Returns when a second attempt is due beside one that starts now, if ever: not beside one that
     /// waits long for its slot.
     fn second_after(&self, wait: Duration) -> Option<Instant> {
@@ -293,7 +313,7 @@
         self.tried.push(Arc::clone(&target.id));
         let (job, number) = (self.job, self.number);
         let rank = Rank {
-            outside: job.rank.outside && !self.interrupted,
+            outside: job.rank.outside && self.interrupted == Interrupted::Never,
             ..job.rank
         };
         Box::pin(async move {
@@ -334,7 +354,7 @@
                 // A node that ends takes its exchanges with it; that is no reason to stop trying.
                 if code == Code::AnswerLost && !is_listed(self.job, target) {
                     self.sent -= 1;
-                    self.interrupted = true;
+                    self.interrupted = Interrupted::Now;
                 }
                 match self.job.idempotent && !self.job.over() {
                     true => Next::Repeat,
@@ -356,13 +376,12 @@
                 return if may { Next::Elsewhere } else { Next::Stop };
             }
             Code::Busy => self.busy.push(target.clone()),
+            Code::Ejected if !target.failing => {}
             // It is asked again, and has to take the request, if all others refuse.
-            Code::Doubtful | Code::Ejected if code == Code::Doubtful || target.failing => {
-                self.busy.push(TargetView {
-                    failing: true,
-                    ..target.clone()
-                })
-            }
+            Code::Doubtful | Code::Ejected => self.busy.push(TargetView {
+                failing: true,
+                ..target.clone()
+            }),
             Code::Overloaded if !self.waited => self.busy.push(target.clone()),
             // It has waited its share of the time; what is left is too short for the work.
             Code::Overloaded => {
--- a/src/proxy/dispatch.rs
+++ b/src/proxy/dispatch.rs
@@ -46,6 +46,20 @@
         job.idempotent && !job.over() && self.draw_again(job).await && self.spend(job).await
     }
 
+    /// Takes the repeat of a request whose node ended under it. It is the fleet that broke off, so that
+    /// neither a quota nor the retry budget refuses it; both are drawn on, and the budget makes up for it.
+    pub(super) async fn repeat_interrupted(&self, job: &Job) -> bool {
+        if !job.idempotent || job.over() {
+            return false;
+        }
+        let drawn = self.draw_again(job).await;
+        let (request, service) = (job.name.as_str(), &job.matched.service);
+        spdlog::info!("repeat after a node ended", kv: { request, drawn });
+        self.repeats
+            .spend(&job.core, service, Purpose::Forced)
+            .await
+    }
+
     async fn draw_again(&self, job: &Job) -> bool {
         let core = &job.core;
         let Some((organisation, _)) = job.caller.as_ref().filter(|_| core.feed.is_some()) else {
