Requests that find two rounds of work at all sound targets are tried at failing ones

A request that is to wait now compares what there is to do, with one and a half rounds on top for a failing target, instead of placing all failing ones last.

--- a/src/proxy/course.rs
+++ b/src/proxy/course.rs
@@ -49,6 +49,10 @@
 /// at a far one instead.
 const FAR_LOAD: f64 = 0.5;
 
+/// How much more there must be to do at targets that seem well, as a share of their slots, for a
+/// request to be tried at one that seems to fail: more than two rounds of work.
+const FAILING_LOAD: f64 = 1.5;
+
 /// Share of a route's objective after which an idempotent request is tried a second time beside the
 /// first, and the share that the first has at least: an answer that takes half of the objective can
 /// still come in time from elsewhere.
@@ -285,20 +289,14 @@
     /// Takes the target with least to do of those that had no free slot and fit.
     fn least_busy(&mut self, fits: impl Fn(&TargetView) -> bool) -> Option<TargetView> {
         let now = self.job.core.clock.now();
-        let order = |t: &TargetView| {
+        let to_do = |t: &TargetView| {
             let farther = if t.near { 0.0 } else { FAR_LOAD };
-            (
-                t.failing,
-                t.total(now) / f64::from(t.slots.max(1)) + farther,
-            )
+            let worse = if t.failing { FAILING_LOAD } else { 0.0 };
+            t.total(now) / f64::from(t.slots.max(1)) + farther + worse
         };
         let least = (0..self.busy.len())
             .filter(|i| fits(&self.busy[*i]))
-            .min_by(|a, b| {
-                order(&self.busy[*a])
-                    .partial_cmp(&order(&self.busy[*b]))
-                    .unwrap()
-            })?;
+            .min_by(|a, b| to_do(&self.busy[*a]).total_cmp(&to_do(&self.busy[*b])))?;
         Some(self.busy.swap_remove(least))
     }
 
