Fewer bytes between data centres: large answers wait near, and far targets are asked less in vain

(1) Far targets that seem to fail, or were full half a second ago, are not asked for a free slot; requests that wait consider them. (2) Routes may say that their answers are large (the platform's downloads); their requests wait near for half of their objective before they go to a far target.

--- a/examples/slopes.rs
+++ b/examples/slopes.rs
@@ -283,6 +283,7 @@
             timeout_ms: 0,
             objective_ms: 0,
             attempts: 0,
+            large: false,
             priority: 0,
         });
     }
--- a/src/board/view.rs
+++ b/src/board/view.rs
@@ -22,6 +22,10 @@
 /// How long a load counts that a guard reported: about the time of a short piece of work.
 const REPORT_LASTS: Duration = Duration::from_millis(300);
 
+/// How long a far target that was full is not asked again whether it has a free slot. Each question
+/// costs bytes between data centres.
+const FULL_LASTS: Duration = Duration::from_millis(500);
+
 /// Loads of one target as this node sees them; they outlive views.
 #[derive(Debug, Default)]
 pub struct Load {
@@ -38,13 +42,20 @@
         *reported = Some((load, now));
     }
 
+    /// Returns the load that was reported less than `within` ago.
+    fn reported(&self, within: Duration, now: Instant) -> Option<u32> {
+        let reported = self.reported.lock().unwrap_or_else(PoisonError::into_inner);
+        reported
+            .filter(|(_, at)| now < *at + within)
+            .map(|(load, _)| load)
+    }
+
     /// Returns the load as far as it is known.
     #[must_use]
     pub fn known(&self, now: Instant) -> u32 {
-        let reported = self.reported.lock().unwrap_or_else(PoisonError::into_inner);
-        let recent = reported.filter(|(_, at)| now < *at + REPORT_LASTS);
         let running = self.running.load(Relaxed);
-        recent.map_or(running, |(load, _)| running.max(load))
+        let reported = self.reported(REPORT_LASTS, now);
+        reported.map_or(running, |load| running.max(load))
     }
 }
 
@@ -290,6 +301,17 @@
 }
 
 impl TargetView {
+    /// Tells whether the target is worth asking for a free slot: a far one is not while it seems to
+    /// fail, or was full a moment ago.
+    #[must_use]
+    pub fn is_worth_asking(&self, now: Instant) -> bool {
+        let full = || {
+            let load = self.load.reported(FULL_LASTS, now);
+            load.is_some_and(|load| load >= self.slots)
+        };
+        self.near || !(self.failing || full())
+    }
+
     /// Returns the load that the choice compares.
     #[must_use]
     pub fn total(&self, now: Instant) -> f64 {
--- a/src/config/document.rs
+++ b/src/config/document.rs
@@ -99,6 +99,9 @@
         /// Rank in queues; 0 goes first.
         #[serde(default)]
         pub priority: u32,
+        /// Whether answers are large.
+        #[serde(default)]
+        pub large: bool,
     }
 
     /// A VM that keeps no rates any more, because its incarnation is taken to be dead.
--- a/src/config/file.rs
+++ b/src/config/file.rs
@@ -217,6 +217,7 @@
     let objective_ms = fields.whole("objective_ms", 0..=LONGEST_TIMEOUT_MS, 0);
     let attempts = fields.whole("attempts", 0..=MOST_ATTEMPTS, 0);
     let priority = fields.whole("priority", 0..=MOST, 0);
+    let large = fields.flag("large", false);
     let (prefix, service) = (prefix?, service?);
     if !plain_prefix(&prefix.value) {
         source.add(
@@ -237,6 +238,7 @@
         objective_ms,
         attempts,
         priority,
+        large,
     })
 }
 
--- a/src/config/index.rs
+++ b/src/config/index.rs
@@ -26,6 +26,7 @@
     objective: Duration,
     attempts: u32,
     priority: u32,
+    large: bool,
 }
 
 /// What a request matched.
@@ -77,6 +78,12 @@
         (self.rule.attempts > 0).then_some(self.rule.attempts)
     }
 
+    /// Tells whether answers are large, so that they are rather not sent between data centres.
+    #[must_use]
+    pub fn is_large(&self) -> bool {
+        self.rule.large
+    }
+
     /// Returns the rank in queues; 0 goes first.
     #[must_use]
     pub fn priority(&self) -> u32 {
@@ -212,6 +219,7 @@
             objective: Duration::from_millis(u64::from(route.objective_ms)),
             attempts: route.attempts,
             priority: route.priority,
+            large: route.large,
         };
         let router = hosts.entry(route.host.to_ascii_lowercase()).or_default();
         insert(router, &route.prefix, &Arc::new(rule));
--- a/src/proxy/course.rs
+++ b/src/proxy/course.rs
@@ -45,6 +45,10 @@
 /// to another one: waits up to an eighth of the objective cost users nothing.
 const NEAR_WAIT_SHARE: f64 = 0.125;
 
+/// The same for requests with large answers: a wait that leaves the work as much time as it has
+/// elsewhere.
+const LARGE_WAIT_SHARE: f64 = 0.5;
+
 /// How much more there must be to do at a near target, as a share of its slots, for a request to wait
 /// at a far one instead.
 const FAR_LOAD: f64 = 0.5;
@@ -229,6 +233,7 @@
                 return Some(attempt);
             }
             // All that are there have no free slot: the request waits at the one with least to do.
+            self.add_unasked();
             if let Some(target) = self.least_busy(|_| true) {
                 self.waited = true;
                 let wait = self.longest_wait();
@@ -244,6 +249,19 @@
         }
     }
 
+    /// Adds targets that were not worth asking to those that had no free slot.
+    fn add_unasked(&mut self) {
+        let view = self.job.core.view.load();
+        let service = view.services.get(self.job.matched.service.name.as_str());
+        let targets = service.iter().flat_map(|s| &s.targets);
+        for target in targets.filter(|t| !t.near) {
+            if !self.tried.contains(&target.id) {
+                self.tried.push(Arc::clone(&target.id));
+                self.busy.push(target.clone());
+            }
+        }
+    }
+
     /// Returns an attempt in this data centre: at a target that has a free slot, as far as is known,
     /// or else, once, at one that will have one soon. Bytes between data centres are dear, and a wait
     /// that still meets the objective costs nothing.
@@ -252,7 +270,11 @@
         if let Some(target) = job.core.entry.choose(job, &self.tried, true) {
             return self.ask(target);
         }
-        let wait = job.objective().mul_f64(NEAR_WAIT_SHARE);
+        let share = match job.matched.is_large() {
+            true => LARGE_WAIT_SHARE,
+            false => NEAR_WAIT_SHARE,
+        };
+        let wait = job.objective().mul_f64(share);
         if self.near_waited || wait.is_zero() {
             return None;
         }
--- a/src/proxy/dispatch.rs
+++ b/src/proxy/dispatch.rs
@@ -92,7 +92,8 @@
         may
     }
 
-    /// Chooses a target that was not tried yet, within the data centre or anywhere.
+    /// Chooses a target that was not tried yet and may have a free slot, within the data centre or
+    /// anywhere.
     pub(super) fn choose(
         &self,
         job: &Job,
@@ -108,6 +109,7 @@
         let open: Vec<&TargetView> = targets
             .iter()
             .filter(|t| !tried.contains(&t.id) && (t.near || !near_only))
+            .filter(|t| t.is_worth_asking(now))
             .collect();
         let paths = self.paths.lock().unwrap_or_else(PoisonError::into_inner);
         let candidates: Vec<Candidate> = open
