--- a/src/error.rs
+++ b/src/error.rs
@@ -84,6 +84,16 @@
 pub struct Findings(pub Vec<Finding>);
 
 impl Findings {
+    /// Adds a mistake whose line is not known, as where a field is missing.
+    pub fn add(&mut self, source: &str, message: String) {
+        self.0.push(Finding {
+            source: source.to_owned(),
+            line: 0,
+            column: 0,
+            message,
+        });
+    }
+
     /// Returns the value when there are no findings, and all of them otherwise.
     ///
     /// # Errors
--- a/src/proxy/gate.rs
+++ b/src/proxy/gate.rs
@@ -28,12 +28,15 @@
 /// How often a request that waits looks whether a paced target may start one.
 const PACE_TICK: Duration = Duration::from_millis(20);
 
+/// Targets by their names.
+type Targets = HashMap<String, Guarded>;
+
 /// All targets that this node guards.
 pub struct Gate {
     clock: SharedClock,
     tickets: AtomicU64,
     closed: AtomicBool,
-    targets: Mutex<HashMap<String, Guarded>>,
+    targets: Mutex<Targets>,
 }
 
 /// The right to run one request at a target; dropping it lets the next one in.
@@ -65,7 +68,7 @@
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, HashMap<String, Guarded>> {
+    fn lock(&self) -> MutexGuard<'_, Targets> {
         self.targets.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -99,8 +102,7 @@
                 true
             }
         };
-        drop(targets);
-        drop(waiting);
+        send_away(targets, waiting);
         newest
     }
 
@@ -112,8 +114,7 @@
         };
         target.said.leaving = true;
         let waiting = target.take_waiting(now);
-        drop(targets);
-        drop(waiting);
+        send_away(targets, waiting);
     }
 
     /// Closes the gate for a node that stops: what waits goes elsewhere, and nothing more is let in.
@@ -124,8 +125,7 @@
             .values_mut()
             .flat_map(|target| target.take_waiting(now))
             .collect();
-        drop(targets);
-        drop(waiting);
+        send_away(targets, waiting);
     }
 
     /// Takes up that a target says it stays cold this much longer.
@@ -338,8 +338,7 @@
             true => target.take_waiting(now),
             false => Vec::new(),
         };
-        drop(targets);
-        drop(waiting);
+        send_away(targets, waiting);
         ejected
     }
 
@@ -348,18 +347,25 @@
     pub fn overdue(&self, others: impl Fn(&str, &str) -> Others, now: Instant) -> Vec<String> {
         let mut ejected = Vec::new();
         let mut waiting = Vec::new();
-        for target in self.lock().values_mut() {
+        let mut targets = self.lock();
+        for target in targets.values_mut() {
             let others = others(&target.said.service, &target.said.id);
             if target.count_overdue(others, now) {
                 ejected.push(target.said.id.clone());
                 waiting.extend(target.take_waiting(now));
             }
         }
-        drop(waiting);
+        send_away(targets, waiting);
         ejected
     }
 }
 
+/// Sends requests that wait elsewhere. That wakes their tasks, so that the lock is given back first.
+fn send_away(targets: MutexGuard<'_, Targets>, waiting: Vec<Waiter>) {
+    drop(targets);
+    drop(waiting);
+}
+
 /// Who wants to run what, and how long it may wait.
 pub struct Wish<'w> {
     /// The target.
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     cli::NodeArgs,
-    error::{Error, Finding, Findings},
+    error::{Error, Findings},
     fleet::Secret,
     jsonc::{Fields, Source},
     policy::share::Excess,
@@ -288,12 +288,7 @@
 }
 
 fn add(found: &mut Findings, field: &str, message: &str) {
-    found.0.push(Finding {
-        source: "settings".to_owned(),
-        line: 0,
-        column: 0,
-        message: format!("\"{field}\" {message}"),
-    });
+    found.add("settings", format!("\"{field}\" {message}"));
 }
 
 fn address(field: &str, text: Option<String>, found: &mut Findings) -> Option<SocketAddr> {
