A node that has just started waits for targets and quotas, and grants nothing from empty parts

Such requests now wait up to 2 s for a target and 1 s for a quota, in the first 3.5 s of a node. The part of a node in its first 3.5 s is now empty and fills from 1 s after its start; the rule for a node that knows no other goes.

--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -43,6 +43,10 @@
     settings::Settings,
 };
 
+/// How long after its start a node hears of targets and holders: two heartbeats of a target, of 1.5 s
+/// each, and a round of gossip.
+const SETTLES_FOR: Duration = Duration::from_millis(3_500);
+
 /// How long a starting node waits for word of others.
 const ALONE_AFTER: Duration = Duration::from_secs(5);
 
@@ -305,6 +309,12 @@
         !self.stopping() && shared.fresh.fresh(now) && (in_touch || waited)
     }
 
+    /// Tells whether the node started so lately that it may not have heard of all targets and holders.
+    #[must_use]
+    pub fn settles(&self, now: Instant) -> bool {
+        now < self.started() + SETTLES_FOR
+    }
+
     /// Returns when the node started.
     #[must_use]
     pub fn started(&self) -> Instant {
--- a/src/policy/share.rs
+++ b/src/policy/share.rs
@@ -66,6 +66,15 @@
         }
     }
 
+    /// Starts a part that is empty, and fills from `from` on.
+    #[must_use]
+    pub fn empty(from: Instant) -> Self {
+        Self {
+            tokens: 0.0,
+            at: from,
+        }
+    }
+
     fn refill(&mut self, size: Size, now: Instant) {
         let passed = now.saturating_duration_since(self.at).as_secs_f64();
         self.at = self.at.max(now);
--- a/src/proxy/course.rs
+++ b/src/proxy/course.rs
@@ -19,7 +19,7 @@
         Code, OUTCOME_HEADER, Outcome,
         answer::refuse,
         attempt::{INTERNAL_PREFIX, PUBLIC_PREFIX, drop_prefix},
-        dispatch::{echoes, is_listed, note_load},
+        dispatch::{echoes, guard_stays, note_load},
         head::HOP_BY_HOP,
         job::{Job, Tried, whole_millis},
         payload::{HELD_ANSWER_BYTES, HELD_BYTES, Payload, hold_answer},
@@ -241,10 +241,11 @@
                 return Some(self.start(target, wait, body));
             }
             let now = job.core.clock.now();
-            if !self.tried.is_empty() || job.core.ready() || now >= self.patient_until {
+            let may_hear = !job.core.ready() || job.core.settles(now);
+            if !self.tried.is_empty() || !may_hear || now >= self.patient_until {
                 return None;
             }
-            // A node that was paused hears of the others again in a moment.
+            // A node that was paused, or has just started, hears of the others in a moment.
             sleep(KEEPER_PAUSE).await;
         }
     }
@@ -372,7 +373,7 @@
             Err(code) => {
                 self.broken = Some(code);
                 // A node that ends takes its exchanges with it; that is no reason to stop trying.
-                if code == Code::AnswerLost && !is_listed(self.job, target) {
+                if code == Code::AnswerLost && !guard_stays(self.job, target) {
                     self.sent -= 1;
                     self.interrupted = Interrupted::Now;
                 }
--- a/src/proxy/dispatch.rs
+++ b/src/proxy/dispatch.rs
@@ -259,11 +259,12 @@
     }
 }
 
-/// Tells whether a target still gets new work: its guard is alive and stays, and so does it.
-pub(super) fn is_listed(job: &Job, target: &TargetView) -> bool {
+/// Tells whether the guard of a target is alive and stays. The target itself may be out.
+pub(super) fn guard_stays(job: &Job, target: &TargetView) -> bool {
     let view = job.core.view.load();
-    let service = view.services.get(job.matched.service.name.as_str());
-    service.is_some_and(|s| s.targets.iter().any(|t| t.id == target.id))
+    let mut staying = view.near.iter().chain(view.far.iter().flatten());
+    let guard = &target.vm;
+    staying.any(|vm| vm.address == guard.address && vm.incarnation == guard.incarnation)
 }
 
 fn absolute(address: &str, uri: &Uri) -> Uri {
--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -7,12 +7,13 @@
         Arc, Mutex,
         atomic::{AtomicU64, Ordering::Relaxed},
     },
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use http::{HeaderMap, HeaderValue, Request, Response, Version, header};
 use hyper::body::Incoming;
 use rand::{Rng, rng};
+use tokio::time::sleep;
 
 use crate::{
     board::View,
@@ -31,6 +32,13 @@
     },
 };
 
+/// How long a request waits for a quota after its node has started: what is left of the usual objective of
+/// 2 s is enough for the work.
+const QUOTA_PATIENCE: Duration = Duration::from_millis(1_000);
+
+/// How long it waits before it asks again: the time in which a quota of ten a second grows by one.
+const QUOTA_PAUSE: Duration = Duration::from_millis(100);
+
 /// The entry's own state.
 #[derive(Default)]
 pub struct Entry {
@@ -85,7 +93,7 @@
             find(core, &view, &host, parts.uri.path(), &parts.headers, fresh).map_err(refused)?;
         if let Some((organisation, _)) = &caller
             && core.feed.is_some()
-            && !core.quota.draw(core, organisation).await
+            && !draw(core, organisation, begun).await
         {
             let (request, organisation) = (name.as_str(), organisation.name.as_str());
             spdlog::info!("quota refused", kv: { request, organisation });
@@ -127,6 +135,21 @@
     }
 }
 
+/// Draws on an organisation's quota. A node that has just started asks again for a while: who holds the
+/// quota is not known yet, or the holder's part starts nearly empty.
+async fn draw(core: &Core, organisation: &Organisation, begun: Instant) -> bool {
+    loop {
+        if core.quota.draw(core, organisation).await {
+            return true;
+        }
+        let now = core.clock.now();
+        if !core.settles(now) || now >= begun + QUOTA_PATIENCE {
+            return false;
+        }
+        sleep(QUOTA_PAUSE).await;
+    }
+}
+
 /// A caller that waits for its answer; one that leaves before is logged.
 struct Waiting<'j> {
     job: &'j Job,
--- a/src/proxy/quota.rs
+++ b/src/proxy/quota.rs
@@ -33,8 +33,8 @@
 /// that all own parts together have to fit into the excess.
 const OWN_PARTS: u32 = 4;
 
-/// How long after its start a node that has heard of no other in its data centre holds no part: it
-/// takes itself for the holder of every part, and after a loss of power so do all.
+/// How long after its start a node grants nothing of its own: it may not have heard yet of those that
+/// should hold a part before it, and after a loss of power so it is with all.
 const SETTLED_AFTER: Duration = Duration::from_secs(1);
 
 /// How long the part of another data centre is waited for.
@@ -77,7 +77,10 @@
     let mut parts = lock(parts);
     let part = parts
         .entry(organisation.name.clone())
-        .or_insert_with(|| Part::new(size, now));
+        .or_insert_with(|| match core.settles(now) {
+            true => Part::empty(core.started() + SETTLED_AFTER),
+            false => Part::new(size, now),
+        });
     act(part, size, now)
 }
 
@@ -159,10 +162,6 @@
     /// Grants one request from the part that this node holds for its data centre, or from that of
     /// another one, if one is left.
     pub async fn grant(&self, core: &Core, organisation: &Organisation) -> bool {
-        let alone = core.view.load().near.len() <= 1;
-        if alone && core.clock.now() < core.started() + SETTLED_AFTER {
-            return self.draw_own(core, organisation);
-        }
         let count = data_centres(core);
         if with(&self.held, core, organisation, count, Part::draw) {
             return true;
--- a/tests/gray.rs
+++ b/tests/gray.rs
@@ -189,6 +189,21 @@
     }
 }
 
+#[test]
+fn the_part_of_a_node_that_has_just_started_grants_nothing_at_first() {
+    let excess = Excess {
+        requests: 20.0,
+        share: 0.1,
+        window: 5.0,
+    };
+    let size = Size::of(30.0, 30, &excess, 3);
+    let start = Instant::now();
+    let mut part = Part::empty(start + ms(1_000));
+    assert!(!part.draw(size, start + ms(900)));
+    assert_eq!(part.lend(size, 3, start + ms(900)), 0);
+    assert!(part.draw(size, start + ms(1_200)));
+}
+
 #[test]
 fn a_quota_serves_whoever_asks_although_all_come_to_one_data_centre() {
     // Eight tenths of the rate, all in one data centre.
