--- a/src/fleet/membership.rs
+++ b/src/fleet/membership.rs
@@ -1,13 +1,10 @@
 //! The records of all nodes, and which of them another node lacks.
 
-use std::{
-    collections::{HashMap, VecDeque},
-    hash::{DefaultHasher, Hash, Hasher},
-};
+use std::collections::{HashMap, VecDeque};
 
 use prost::Message;
 
-use crate::fleet::codec::Record;
+use crate::{fleet::codec::Record, hash::hash_of};
 
 /// Buckets over which records are spread by address.
 pub const BUCKETS: usize = 32;
@@ -109,12 +106,6 @@
     }
 }
 
-fn hash_of(value: &impl Hash) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    value.hash(&mut hasher);
-    hasher.finish()
-}
-
 fn bucket_of(vm: &str) -> usize {
     #[expect(clippy::cast_possible_truncation)]
     let bucket = (hash_of(&vm) % BUCKETS as u64) as usize;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod exit_codes;
 pub mod feed;
 pub mod fleet;
+mod hash;
 pub mod jsonc;
 pub mod logs;
 pub mod net;
--- a/src/node/follow.rs
+++ b/src/node/follow.rs
@@ -11,6 +11,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::{
+    board::Vm,
     config::{Index, digest_of},
     feed::{Content, Feed, Reading},
     node::{Core, Shared, configure::fetch_from_peers, take_up},
@@ -200,14 +201,18 @@
 
     /// Returns the one of all delegates that reads the feed most often.
     fn first_delegate(&self) -> Option<Arc<str>> {
-        let centres = self.board.centres.values();
-        centres.filter_map(|c| self.delegate(&c.name)).min()
+        self.staying().map(|vm| Arc::clone(&vm.address)).min()
+    }
+
+    fn staying(&self) -> impl Iterator<Item = &Vm> {
+        let vms = self.board.vms.values();
+        vms.filter(|vm| vm.alive && !vm.leaving)
     }
 
     /// Returns the node of a data centre that reads the feed and gossips with the other ones.
     pub(super) fn delegate(&self, centre: &str) -> Option<Arc<str>> {
-        let here = |vm: &&crate::board::Vm| *self.board.centres[vm.centre].name == *centre;
-        let stays = self.board.vms.values().filter(|vm| vm.alive && !vm.leaving);
-        stays.filter(here).map(|vm| Arc::clone(&vm.address)).min()
+        let here = |vm: &&Vm| *self.board.centres[vm.centre].name == *centre;
+        let stays = self.staying().filter(here);
+        stays.map(|vm| Arc::clone(&vm.address)).min()
     }
 }
--- a/src/node/keep.rs
+++ b/src/node/keep.rs
@@ -5,7 +5,6 @@
 
 use std::{
     collections::{HashMap, HashSet},
-    hash::{DefaultHasher, Hash, Hasher},
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -16,6 +15,7 @@
 use crate::{
     board::Board,
     config::{Change, Fence, change},
+    hash::hash_of,
     node::{Core, Shared},
     platform::{Condition, PlatformError, Row, Write},
     policy::{
@@ -166,16 +166,10 @@
         .values()
         .filter(|vm| vm.alive && vm.joined && !vm.leaving)
         .filter(|vm| centre.is_none_or(|c| *board.centres[vm.centre].name == *c))
-        .max_by_key(|vm| weight(&vm.address, key))
+        .max_by_key(|vm| hash_of(&(&*vm.address, key)))
         .map(|vm| Arc::clone(&vm.address))
 }
 
-fn weight(vm: &str, key: u32) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    (vm, key).hash(&mut hasher);
-    hasher.finish()
-}
-
 fn row_name(key: u32) -> String {
     format!("{KEEPER_PREFIX}{key}")
 }
--- a/src/ops/local.rs
+++ b/src/ops/local.rs
@@ -37,7 +37,8 @@
     }
 }
 
-type SharedCore = Arc<Core>;
+/// The node, as handlers of its listeners share it.
+pub type SharedCore = Arc<Core>;
 
 /// Serves the local listener until the process ends.
 pub async fn serve_local(core: SharedCore, listener: TcpListener) {
@@ -54,7 +55,11 @@
     }
 }
 
-fn core(request: &Request) -> Result<SharedCore> {
+/// Returns the node that a listener serves.
+///
+/// # Errors
+/// Status 500 when its router was made without one.
+pub fn core(request: &Request) -> Result<SharedCore> {
     request
         .state::<SharedCore>()
         .ok_or_else(|| StatusCode::INTERNAL_SERVER_ERROR.into_error())
@@ -87,7 +92,11 @@
     Ok(Response::json(json!({ "lease_ms": lease }))?)
 }
 
-async fn ready(request: Request) -> Result<Response> {
+/// Tells by the status whether the node serves callers.
+///
+/// # Errors
+/// See [`core`].
+pub async fn ready(request: Request) -> Result<Response> {
     let core = core(&request)?;
     let status = match core.serves() {
         true => StatusCode::OK,
--- a/src/ops/mod.rs
+++ b/src/ops/mod.rs
@@ -4,4 +4,7 @@
 mod local;
 mod metrics;
 
-pub use self::{local::serve_local, metrics::Metrics};
+pub use self::{
+    local::{SharedCore, core, ready, serve_local},
+    metrics::Metrics,
+};
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -19,78 +19,107 @@
 /// What all bodies are, objects included: the platform does not look into them.
 const CONTENT_TYPE: &str = "application/json";
 
+/// Calls a platform at one address, each call over a connection of its own.
+#[derive(Clone)]
+pub struct Caller {
+    address: Arc<str>,
+    timeout: Duration,
+}
+
+impl Caller {
+    /// Creates a caller that waits for each answer as long as `timeout`.
+    #[must_use]
+    pub fn new(address: &str, timeout: Duration) -> Self {
+        Self {
+            address: address.into(),
+            timeout,
+        }
+    }
+
+    /// Makes one call and returns the answer's status and body.
+    ///
+    /// # Errors
+    /// [`PlatformError`] when no answer comes.
+    pub async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> Result<(StatusCode, Bytes), PlatformError> {
+        let request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header(header::HOST, &*self.address)
+            .header(header::CONTENT_TYPE, CONTENT_TYPE)
+            .body(Full::new(body))
+            .map_err(malformed)?;
+        let answer = exchange(&self.address, request, self.timeout).await;
+        answer.map_err(PlatformError::from)
+    }
+
+    /// Returns the object at a path, if there is one.
+    ///
+    /// # Errors
+    /// [`PlatformError`] when no answer comes, or another one than agreed.
+    pub async fn get(&self, path: &str) -> Result<Option<Bytes>, PlatformError> {
+        let (status, content) = self.call(Method::GET, path, Bytes::new()).await?;
+        if status == StatusCode::NOT_FOUND {
+            return Ok(None);
+        }
+        expect(status)?;
+        Ok(Some(content))
+    }
+
+    /// Writes the object at a path.
+    ///
+    /// # Errors
+    /// [`PlatformError`] when no answer comes, or another one than agreed.
+    pub async fn put(&self, path: &str, content: Bytes) -> Result<(), PlatformError> {
+        let (status, _) = self.call(Method::PUT, path, content).await?;
+        expect(status)
+    }
+}
+
 /// Returns the functions of the platform at an address.
 #[must_use]
 pub fn http_platform(address: &str) -> Platform {
-    let base: Arc<str> = address.into();
-    let (read, scan, commit) = (Arc::clone(&base), Arc::clone(&base), Arc::clone(&base));
-    let (get, put) = (Arc::clone(&base), base);
+    let caller = Caller::new(address, CALL_TIMEOUT);
+    let (read, scan, commit) = (caller.clone(), caller.clone(), caller.clone());
+    let (get, put) = (caller.clone(), caller);
     Platform {
         read: Arc::new(move |key| {
-            let base = Arc::clone(&read);
-            Box::pin(async move { post(&base, "/table/read", &json!({ "key": key })).await })
+            let caller = read.clone();
+            Box::pin(async move { post(&caller, "/table/read", &json!({ "key": key })).await })
         }),
         scan: Arc::new(move |prefix| {
-            let base = Arc::clone(&scan);
-            Box::pin(async move { post(&base, "/table/scan", &json!({ "prefix": prefix })).await })
+            let caller = scan.clone();
+            Box::pin(
+                async move { post(&caller, "/table/scan", &json!({ "prefix": prefix })).await },
+            )
         }),
         commit: Arc::new(move |conditions, writes| {
-            let base = Arc::clone(&commit);
+            let caller = commit.clone();
             let body = json!({ "conditions": conditions, "writes": writes });
-            Box::pin(async move { post(&base, "/table/commit", &body).await })
+            Box::pin(async move { post(&caller, "/table/commit", &body).await })
         }),
         get: Arc::new(move |name| {
-            let base = Arc::clone(&get);
-            Box::pin(async move { get_object(&base, &name).await })
+            let caller = get.clone();
+            Box::pin(async move { caller.get(&format!("/objects/{name}")).await })
         }),
         put: Arc::new(move |name, content| {
-            let base = Arc::clone(&put);
-            Box::pin(async move { put_object(&base, &name, content).await })
+            let caller = put.clone();
+            Box::pin(async move { caller.put(&format!("/objects/{name}"), content).await })
         }),
     }
 }
 
 async fn post<T: DeserializeOwned>(
-    base: &str,
+    caller: &Caller,
     path: &str,
     body: &impl Serialize,
 ) -> Result<T, PlatformError> {
     let body = serde_json::to_vec(body).map_err(malformed)?;
-    let (status, content) = call(base, Method::POST, path, body.into()).await?;
+    let (status, content) = caller.call(Method::POST, path, body.into()).await?;
     expect(status)?;
     serde_json::from_slice(&content).map_err(malformed)
 }
-
-async fn get_object(base: &str, name: &str) -> Result<Option<Bytes>, PlatformError> {
-    let path = format!("/objects/{name}");
-    let (status, content) = call(base, Method::GET, &path, Bytes::new()).await?;
-    if status == StatusCode::NOT_FOUND {
-        return Ok(None);
-    }
-    expect(status)?;
-    Ok(Some(content))
-}
-
-async fn put_object(base: &str, name: &str, content: Bytes) -> Result<(), PlatformError> {
-    let path = format!("/objects/{name}");
-    let (status, _) = call(base, Method::PUT, &path, content).await?;
-    expect(status)
-}
-
-async fn call(
-    base: &str,
-    method: Method,
-    path: &str,
-    body: Bytes,
-) -> Result<(StatusCode, Bytes), PlatformError> {
-    let request = Request::builder()
-        .method(method)
-        .uri(path)
-        .header(header::HOST, base)
-        .header(header::CONTENT_TYPE, CONTENT_TYPE)
-        .body(Full::new(body))
-        .map_err(malformed)?;
-    exchange(base, request, CALL_TIMEOUT)
-        .await
-        .map_err(PlatformError::from)
-}
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -11,7 +11,7 @@
 use http::StatusCode;
 use thiserror::Error;
 
-pub use self::client::http_platform;
+pub use self::client::{Caller, http_platform};
 use crate::net::NetError;
 
 /// Why a call to the platform failed.
--- a/src/policy/fresh.rs
+++ b/src/policy/fresh.rs
@@ -8,12 +8,11 @@
 
 use std::{
     collections::{HashMap, HashSet},
-    hash::{DefaultHasher, Hash, Hasher},
     sync::Arc,
     time::{Duration, Instant},
 };
 
-use crate::policy::roster::quorum;
+use crate::{hash::hash_of, policy::roster::quorum};
 
 /// How long news keeps a node fresh.
 pub const FRESH_FOR: Duration = Duration::from_secs(4);
@@ -400,9 +399,7 @@
 }
 
 fn identify(roster: &[String]) -> u32 {
-    let mut hasher = DefaultHasher::new();
-    roster.hash(&mut hasher);
     #[expect(clippy::cast_possible_truncation)]
-    let id = hasher.finish() as u32;
+    let id = hash_of(roster) as u32;
     id
 }
--- a/src/proxy/course.rs
+++ b/src/proxy/course.rs
@@ -229,7 +229,7 @@
             if let Some(attempt) = self.near() {
                 return Some(attempt);
             }
-            if let Some(attempt) = self.beside() {
+            if let Some(attempt) = self.free(false) {
                 return Some(attempt);
             }
             // All that are there have no free slot: the request waits at the one with least to do.
@@ -267,10 +267,10 @@
     /// or else, once, at one that will have one soon. Bytes between data centres are dear, and a wait
     /// that still meets the objective costs nothing.
     fn near(&mut self) -> Option<BoxFuture<'j, Ended>> {
-        let job = self.job;
-        if let Some(target) = job.core.entry.choose(job, &self.tried, true) {
-            return self.ask(target);
+        if let Some(attempt) = self.free(true) {
+            return Some(attempt);
         }
+        let job = self.job;
         let share = match job.matched.is_large() {
             true => LARGE_WAIT_SHARE,
             false => NEAR_WAIT_SHARE,
@@ -288,14 +288,13 @@
     /// Returns an attempt at a target that has a free slot, as far as is known, those of this data
     /// centre first.
     fn beside(&mut self) -> Option<BoxFuture<'j, Ended>> {
-        let (job, entry) = (self.job, &self.job.core.entry);
-        let target = entry
-            .choose(job, &self.tried, true)
-            .or_else(|| entry.choose(job, &self.tried, false))?;
-        self.ask(target)
+        self.free(true).or_else(|| self.free(false))
     }
 
-    fn ask(&mut self, target: TargetView) -> Option<BoxFuture<'j, Ended>> {
+    /// Returns an attempt at a target that has a free slot, as far as is known.
+    fn free(&mut self, near_only: bool) -> Option<BoxFuture<'j, Ended>> {
+        let entry = &self.job.core.entry;
+        let target = entry.choose(self.job, &self.tried, near_only)?;
         // A body that can be sent once waits where it arrives first.
         let wait = match self.payload.is_held() {
             true => Duration::ZERO,
--- a/src/proxy/guard.rs
+++ b/src/proxy/guard.rs
@@ -122,10 +122,7 @@
         let id = attempt.id;
         let mut response = match self.run(core, attempt, request).await {
             Ok(response) => response,
-            Err((Code::AnswerLost, _)) => mark(
-                refuse(Code::AnswerLost, Outcome::Unknown, None),
-                Verdict::Broken,
-            ),
+            Err((Code::AnswerLost, _)) => broken(Code::AnswerLost),
             Err((code, due)) => mark(refuse(code, Outcome::NotRun, due), Verdict::Refused),
         };
         let headers = response.headers_mut();
@@ -345,6 +342,11 @@
     response
 }
 
+/// Answers that the exchange with the target broke after it had started.
+fn broken(code: Code) -> Response<Body> {
+    mark(refuse(code, Outcome::Unknown, None), Verdict::Broken)
+}
+
 /// Carries the request to the target and its answer back.
 async fn carry(
     ticket: Ticket,
@@ -373,18 +375,12 @@
             let error = error.to_string();
             note(&attempt, "broke off", latency, &error);
             record(&core, &attempt, &permit, Taken::Failed);
-            return mark(
-                refuse(Code::AnswerLost, Outcome::Unknown, None),
-                Verdict::Broken,
-            );
+            return broken(Code::AnswerLost);
         }
         Err(_) => {
             note(&attempt, "no answer in time", latency, "");
             record(&core, &attempt, &permit, Taken::Late);
-            return mark(
-                refuse(Code::Timeout, Outcome::Unknown, None),
-                Verdict::Broken,
-            );
+            return broken(Code::Timeout);
         }
     };
     let refused = refused_by_target(&core.dialect, &response);
@@ -400,10 +396,7 @@
         // The connection carries somebody else's answer, and is dropped with it.
         note(&attempt, "answered another request", latency, "");
         record(&core, &attempt, &permit, Taken::Failed);
-        return mark(
-            refuse(Code::AnswerLost, Outcome::Unknown, None),
-            Verdict::Broken,
-        );
+        return broken(Code::AnswerLost);
     }
     if refused {
         note(&attempt, "refused", latency, response.status().as_str());
--- a/src/proxy/quota.rs
+++ b/src/proxy/quota.rs
@@ -6,7 +6,6 @@
 use std::{
     cmp::Reverse,
     collections::HashMap,
-    hash::{DefaultHasher, Hash, Hasher},
     sync::Mutex,
     time::{Duration, Instant},
 };
@@ -18,6 +17,7 @@
     board::VmView,
     config::Organisation,
     fleet::codec::{DrawReply, DrawRequest},
+    hash::hash_of,
     node::Core,
     policy::share::{Part, Size},
     proxy::rates::lock,
@@ -84,19 +84,15 @@
     act(part, size, now)
 }
 
-fn data_centres(core: &Core) -> u32 {
+/// Returns how many parts quotas and retry budgets are divided into.
+pub(super) fn data_centres(core: &Core) -> u32 {
     let centres = core.settings.data_centres.len().max(1);
     u32::try_from(centres).unwrap_or(u32::MAX)
 }
 
 /// Orders nodes by who should hold something.
 fn ranked(mut nodes: Vec<VmView>, key: &str) -> Vec<VmView> {
-    let weight = |vm: &VmView| {
-        let mut hasher = DefaultHasher::new();
-        (&*vm.address, key).hash(&mut hasher);
-        hasher.finish()
-    };
-    nodes.sort_by_key(|vm| Reverse(weight(vm)));
+    nodes.sort_by_cached_key(|vm| Reverse(hash_of(&(&*vm.address, key))));
     nodes
 }
 
--- a/src/proxy/repeats.rs
+++ b/src/proxy/repeats.rs
@@ -12,7 +12,7 @@
     node::Core,
     policy::budget::{MOST_SAVED, RetryBudget},
     proxy::{
-        quota::{Holder, draw_near},
+        quota::{Holder, data_centres, draw_near},
         rates::lock,
     },
 };
@@ -94,9 +94,7 @@
         let (share, most, spared) = match service.retry_slack {
             0 => (service.retry_share, MOST_SAVED, 0.0),
             slack => {
-                let parts = core.settings.data_centres.len().max(1);
-                #[expect(clippy::cast_precision_loss, reason = "data centres are few")]
-                let most = f64::from(slack) * USED_SLACK / parts as f64;
+                let most = f64::from(slack) * USED_SLACK / f64::from(data_centres(core));
                 (service.retry_share * USED_SHARE, most, SPARED_SHARE * most)
             }
         };
