A test waits until the last keeper's loans are over

A slice that changes hands is usable only after the terms of its last keeper's loans (220 ms), starts empty, and fills in 3 s; the test waited 3 s from the hand-over that its environment waits for. Ruled out: a loan of a wrong size (the same three orders pass once the bucket is full). The bound is that of the product's design: LOAN_TERM + LOAN_MARGIN + burst / rate.

--- a/tests/path.rs
+++ b/tests/path.rs
@@ -2,10 +2,13 @@
 
 mod testenv;
 
+use std::time::Duration;
+
+use marjoramdyke::policy::bucket::{LOAN_MARGIN, LOAN_TERM};
 use testenv::{Call, Fleet, OTHER_KEY, browse, config, order, read, spec, write_file};
 
 /// How long a burst of three takes to fill at one a second.
-const FILL: std::time::Duration = std::time::Duration::from_secs(3);
+const FILL: Duration = Duration::from_secs(3);
 
 #[tokio::test]
 async fn a_request_reaches_a_target_at_another_vm() {
@@ -84,8 +87,9 @@
     .await;
     check(read("/nowhere", "nowhere"), "no-route", 404).await;
     check(browse("no-target"), "no-target", 503).await;
-    // A slice that changed hands while the fleet came up starts empty, and fills at its rate.
-    tokio::time::sleep(FILL).await;
+    // A slice that changed hands while the fleet came up starts empty, once all loans of its last
+    // keeper are over, and fills at its rate.
+    tokio::time::sleep(LOAN_TERM + LOAN_MARGIN + FILL).await;
     for i in 0..3 {
         let tag = format!("within-{i}");
         let got = fleet.call(i, order(&tag)).await.expect("an answer");
