--- a/src/node/serve.rs
+++ b/src/node/serve.rs
@@ -7,7 +7,7 @@
 
 use tokio::{
     net::UdpSocket,
-    signal::unix::{SignalKind, signal},
+    signal::unix::{Signal, SignalKind, signal},
     sync::watch,
     time::sleep,
 };
@@ -19,6 +19,7 @@
     node::{Core, configure, follow, gossip, keep, listen, register, tasks},
     ops::serve_local,
     platform::{Platform, http_platform},
+    policy::shutdown::Shutdown,
     proxy::Dialect,
     settings::Settings,
 };
@@ -30,11 +31,6 @@
 /// callers elsewhere after two misses.
 const ASKED_NOTICE: Duration = Duration::from_millis(2_900);
 
-/// Share of the grace period after which what still runs gets a last answer, and the share after which
-/// the node ends, so that it is not killed.
-const ANSWER_AT: f64 = 0.9;
-const END_AT: f64 = 0.95;
-
 /// How often the drain looks whether requests still run.
 const DRAIN_EVERY: Duration = Duration::from_millis(50);
 
@@ -84,8 +80,18 @@
     tokio::spawn(serve_local(Arc::clone(&core), local));
     tokio::spawn(listen::serve_callers(Arc::clone(&core), callers, stopping));
     extra(&core).await?;
-    told_to_stop().await?;
-    shut_down(&core, &stop).await;
+    let mut signals = Signals::listen()?;
+    signals.next().await;
+    let told = watch::Sender::new(Shutdown {
+        grace: core.settings.grace,
+        first: core.clock.now(),
+        latest: core.clock.now(),
+    });
+    let shutdown = told.subscribe();
+    tokio::select! {
+        () = shut_down(&core, &stop, &shutdown) => {}
+        () = note_repeated(&core, signals, &told) => {}
+    }
     Ok(())
 }
 
@@ -111,19 +117,43 @@
     }
 }
 
-async fn told_to_stop() -> Result<(), Error> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+/// The signals that tell the node to stop.
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl Signals {
+    fn listen() -> Result<Self, Error> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+        })
+    }
+
+    async fn next(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
+    }
+}
+
+/// Takes up signals that come during the shutdown, for as long as it takes.
+async fn note_repeated(core: &Core, mut signals: Signals, told: &watch::Sender<Shutdown>) {
+    loop {
+        signals.next().await;
+        told.send_modify(|shutdown| shutdown.latest = core.clock.now());
+        spdlog::info!("node is told to stop again", kv: { under_way = core.under_way() });
     }
-    Ok(())
 }
 
 /// Tells others, hands the rates over, stops accepting, and waits for what runs.
-async fn shut_down(core: &Arc<Core>, stop: &watch::Sender<bool>) {
-    let told = core.clock.now();
+async fn shut_down(
+    core: &Arc<Core>,
+    stop: &watch::Sender<bool>,
+    shutdown: &watch::Receiver<Shutdown>,
+) {
     spdlog::info!("node stops", kv: { under_way = core.under_way() });
     core.stop();
     let notice = match core.feed.is_some() {
@@ -137,17 +167,17 @@
     core.close();
     // Nobody listening any more is fine: the node ends anyway.
     let _ = stop.send(true);
-    wait_for_idle(core, told + core.settings.grace.mul_f64(ANSWER_AT)).await;
+    wait_for_idle(core, || shutdown.borrow().answer_at()).await;
     core.end();
-    wait_for_idle(core, told + core.settings.grace.mul_f64(END_AT)).await;
+    wait_for_idle(core, || shutdown.borrow().end_at()).await;
     // The last answers are on their way through the sockets.
     sleep(DRAIN_EVERY).await;
     spdlog::info!("node ends", kv: { under_way = core.under_way() });
 }
 
-/// Waits until nothing runs any more, or until an instant.
-async fn wait_for_idle(core: &Core, until: Instant) {
-    while core.under_way() > 0 && core.clock.now() < until {
+/// Waits until nothing runs any more, or until an instant that may move.
+async fn wait_for_idle(core: &Core, until: impl Fn() -> Instant) {
+    while core.under_way() > 0 && core.clock.now() < until() {
         sleep(DRAIN_EVERY).await;
     }
 }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -14,3 +14,4 @@
 pub mod queue;
 pub mod roster;
 pub mod share;
+pub mod shutdown;
--- a/tests/policies.rs
+++ b/tests/policies.rs
@@ -8,6 +8,7 @@
     path::Path,
     pick::{Candidate, pick},
     queue::FairQueue,
+    shutdown::Shutdown,
 };
 use proptest::{
     prelude::*,
@@ -199,3 +200,29 @@
     path.worked();
     assert!(!path.avoided(now));
 }
+
+#[test]
+fn last_answers_come_in_the_last_sixth_after_each_signal_and_before_the_kill() {
+    let first = Instant::now();
+    let grace = Duration::from_secs(6);
+    for gap_ms in 0..=800 {
+        let latest = first + Duration::from_millis(gap_ms);
+        let shutdown = Shutdown {
+            grace,
+            first,
+            latest,
+        };
+        let (answer, end) = (shutdown.answer_at(), shutdown.end_at());
+        assert!(answer >= latest + grace * 5 / 6, "{gap_ms} ms");
+        assert!(answer < end && end < first + grace, "{gap_ms} ms");
+    }
+    let late = Shutdown {
+        grace,
+        first,
+        latest: first + Duration::from_secs(4),
+    };
+    assert!(
+        late.end_at() < first + grace,
+        "the first signal's kill comes anyway"
+    );
+}
