Draws go to the holder that is known; only a holder lends

Logs of each grant, on a scratch copy, showed some twelve nodes of each data centre granting the same part after all were killed (93 grants in the half second that should have 28), and nodes that hold nothing lending from parts of their own while views differ. Now a node that is asked passes the draw on to the holder that it knows of; a stand-in for a holder that is alive but does not answer has a quarter of the part; a part starts empty when it is first asked for; only the holder lends.

--- a/src/node/service.rs
+++ b/src/node/service.rs
@@ -20,7 +20,7 @@
         attempt::{AttemptId, Resolution},
         roster::quorum,
     },
-    proxy::Purpose,
+    proxy::{Purpose, Role, pass_on},
 };
 
 /// How long a guard is waited for when another node asks through this one.
@@ -76,6 +76,14 @@
     async fn draw(&self, request: Request<DrawRequest>) -> Result<Response<DrawReply>, Status> {
         let core = &self.0;
         let request = request.into_inner();
+        // What a part lends to another data centre is asked of the one that was chosen there.
+        let role = match request.borrowed {
+            0 => match pass_on(core, &request).await {
+                Ok(reply) => return Ok(Response::new(reply)),
+                Err(role) => role,
+            },
+            _ => Role::Holder,
+        };
         let view = core.view.load_full();
         let unknown = || Status::not_found("unknown here");
         if request.organisation.is_empty() {
@@ -88,7 +96,7 @@
         let organisation = organisation.ok_or_else(unknown)?;
         let reply = match request.borrowed {
             0 => DrawReply {
-                granted: core.quota.grant(core, organisation).await,
+                granted: core.quota.grant(core, organisation, role).await,
                 lent: 0,
             },
             most => DrawReply {
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -28,7 +28,7 @@
     gate::{Gate, LEASE, Permit, Wish},
     guard::{Guard, others_of},
     guarded::Announcement,
-    quota::Quota,
+    quota::{Quota, Role, pass_on},
     rates::Rates,
     repeats::Purpose,
     watch::Watched,
--- a/src/proxy/quota.rs
+++ b/src/proxy/quota.rs
@@ -20,12 +20,20 @@
     hash::hash_of,
     node::Core,
     policy::share::{Part, Size},
-    proxy::rates::lock,
+    proxy::{rates::lock, repeats::key_of},
 };
 
 /// How long one holder is waited for; many times what an exchange within a data centre takes.
 const ASK_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// How long a node waits for one that goes before it as holder, on behalf of a node that asked it
+/// instead: the asking node still waits for its answer then.
+const PASS_ON_TIMEOUT: Duration = Duration::from_millis(75);
+
+/// How much smaller a part is at a node that stands in for a holder which it does not reach but which is
+/// alive: others do reach it, and the two together have to stay within the excess.
+const STAND_IN_PARTS: u32 = 4;
+
 /// Nodes that are asked before this one grants from its own small part.
 const MOST_ASKED: usize = 2;
 
@@ -78,7 +86,7 @@
     let part = parts
         .entry(organisation.name.clone())
         .or_insert_with(|| match core.settles(now) {
-            true => Part::empty(core.started() + SETTLED_AFTER),
+            true => Part::empty(now.max(core.started() + SETTLED_AFTER)),
             false => Part::new(size, now),
         });
     act(part, size, now)
@@ -100,32 +108,79 @@
 pub(super) enum Holder {
     /// Another node, which has.
     Other(bool),
-    /// This one.
-    This,
+    /// This one, in this role.
+    This(Role),
     /// Nobody that answers.
     Nobody,
 }
 
+value! {
+    /// As what a node grants from a part.
+    pub enum Role {
+        /// It holds the part.
+        Holder,
+        /// The holder is alive, but does not answer this node.
+        StandIn,
+    }
+}
+
 /// Asks the nodes of the data centre that should hold something, in order, until one answers or it is
 /// this node's turn.
 pub(super) async fn draw_near(core: &Core, key: &str, request: &DrawRequest) -> Holder {
     let near = core.view.load().near.clone();
+    let mut role = Role::Holder;
     for holder in ranked(near, key).iter().take(MOST_ASKED) {
         if holder.address == core.address {
-            return Holder::This;
+            return Holder::This(role);
         }
-        let asked = timeout(ASK_TIMEOUT, ask(core, holder, request.clone())).await;
-        match asked.ok().flatten() {
-            Some(reply) => return Holder::Other(reply.granted),
-            None => {
-                let holder = &*holder.address;
-                spdlog::warn!("holder does not answer", kv: { key, holder });
-            }
+        if let Some(reply) = ask_within(core, key, holder, request, ASK_TIMEOUT).await {
+            return Holder::Other(reply.granted);
         }
+        role = Role::StandIn;
     }
     Holder::Nobody
 }
 
+/// Returns the node that should hold something for this data centre; `None` when that is this one.
+fn holder_before(core: &Core, key: &str) -> Option<VmView> {
+    let near = core.view.load().near.clone();
+    let first = ranked(near, key).into_iter().next();
+    first.filter(|first| first.address != core.address)
+}
+
+/// Passes a draw that another node asked this one for on to the node that should hold the part, if that
+/// is known here: until nodes agree on who is alive, several would grant the same part.
+///
+/// # Errors
+/// The role in which this node decides itself.
+pub async fn pass_on(core: &Core, request: &DrawRequest) -> Result<DrawReply, Role> {
+    let key = match request.organisation.is_empty() {
+        true => key_of(&request.service),
+        false => request.organisation.clone(),
+    };
+    let Some(first) = holder_before(core, &key) else {
+        return Err(Role::Holder);
+    };
+    let reply = ask_within(core, &key, &first, request, PASS_ON_TIMEOUT).await;
+    reply.ok_or(Role::StandIn)
+}
+
+async fn ask_within(
+    core: &Core,
+    key: &str,
+    holder: &VmView,
+    request: &DrawRequest,
+    longest: Duration,
+) -> Option<DrawReply> {
+    let asked = timeout(longest, ask(core, holder, request.clone())).await;
+    let reply = asked.ok().flatten();
+    if reply.is_none() {
+        let holder = &*holder.address;
+        spdlog::warn!("holder does not answer", kv: { key, holder });
+    }
+    reply
+}
+
 impl Quota {
     /// Draws one request of an organisation, and tells whether it is granted.
     pub async fn draw(&self, core: &Core, organisation: &Organisation) -> bool {
@@ -138,7 +193,7 @@
         };
         match draw_near(core, &organisation.name, &request).await {
             Holder::Other(granted) => granted,
-            Holder::This => self.grant(core, organisation).await,
+            Holder::This(role) => self.grant(core, organisation, role).await,
             Holder::Nobody => self.draw_own(core, organisation),
         }
     }
@@ -157,8 +212,11 @@
 
     /// Grants one request from the part that this node holds for its data centre, or from that of
     /// another one, if one is left.
-    pub async fn grant(&self, core: &Core, organisation: &Organisation) -> bool {
-        let count = data_centres(core);
+    pub async fn grant(&self, core: &Core, organisation: &Organisation, role: Role) -> bool {
+        let count = match role {
+            Role::Holder => data_centres(core),
+            Role::StandIn => STAND_IN_PARTS * data_centres(core),
+        };
         if with(&self.held, core, organisation, count, Part::draw) {
             return true;
         }
@@ -175,8 +233,12 @@
         })
     }
 
-    /// Lends what this node holds for its data centre to the part of another one.
+    /// Lends what this node holds for its data centre to the part of another one; nothing if another
+    /// node holds it.
     pub fn lend(&self, core: &Core, organisation: &Organisation, most: u32) -> u32 {
+        if holder_before(core, &organisation.name).is_some() {
+            return 0;
+        }
         let count = data_centres(core);
         with(&self.held, core, organisation, count, |part, size, now| {
             part.lend(size, most, now)
--- a/src/proxy/repeats.rs
+++ b/src/proxy/repeats.rs
@@ -62,6 +62,12 @@
     held: Mutex<HashMap<String, RetryBudget>>,
 }
 
+/// Returns the key by which the holder of a service's budget is found.
+#[must_use]
+pub fn key_of(service: &str) -> String {
+    format!("retries of {service}")
+}
+
 impl Repeats {
     /// Takes up that a request of a caller earns its share of a later repeat.
     pub fn earn(&self, service: &Service) {
@@ -80,12 +86,11 @@
             earned,
             forced: purpose == Purpose::Forced,
             urgent: purpose == Purpose::Call,
-            borrowed: 0,
+            ..DrawRequest::default()
         };
-        let key = format!("retries of {}", service.name);
-        match draw_near(core, &key, &request).await {
+        match draw_near(core, &key_of(&service.name), &request).await {
             Holder::Other(granted) => granted,
-            Holder::This | Holder::Nobody => self.take(core, service, earned, purpose),
+            Holder::This(_) | Holder::Nobody => self.take(core, service, earned, purpose),
         }
     }
 
