--- a/tests/testenv/mod.rs
+++ b/tests/testenv/mod.rs
@@ -131,6 +131,11 @@
         self.text("marjoramdyke-outcome")
     }
 
+    /// Tells whether the connection ends with this answer.
+    pub fn closes(&self) -> bool {
+        self.text("connection").eq_ignore_ascii_case("close")
+    }
+
     fn text(&self, name: &str) -> &str {
         let value = self.headers.get(name);
         value.and_then(|v| v.to_str().ok()).unwrap_or("")
@@ -646,12 +651,14 @@
 
 impl Connection {
     pub async fn open(address: &str) -> Self {
-        let stream = TcpStream::connect(address).await.expect("it listens");
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
-            .await
-            .expect("a connection");
+        Self::try_open(address).await.expect("it listens")
+    }
+
+    pub async fn try_open(address: &str) -> Option<Self> {
+        let stream = TcpStream::connect(address).await.ok()?;
+        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
         tokio::spawn(connection);
-        Self { sender }
+        Some(Self { sender })
     }
 
     pub async fn call(&mut self, call: Call<'_>) -> Option<Got> {
