A request asks at most two far targets for a free slot

A request that asked two far targets in vain now waits where least is to do; far ones that it did not ask count as full. Ruled out: gossip (2 in 100), bodies of large answers.

--- a/src/proxy/course.rs
+++ b/src/proxy/course.rs
@@ -49,6 +49,10 @@
 /// elsewhere.
 const LARGE_WAIT_SHARE: f64 = 0.5;
 
+/// Far targets that one request asks for a free slot before it waits. Each question costs bytes between
+/// data centres, and two random choices find a free slot nearly as often as all of them.
+const MOST_FAR_ASKED: u32 = 2;
+
 /// How much more there must be to do at a near target, as a share of its slots, for a request to wait
 /// at a far one instead.
 const FAR_LOAD: f64 = 0.5;
@@ -79,6 +83,8 @@
     /// Attempts that may have reached a target.
     sent: u32,
     refusals: u32,
+    /// Far targets that were asked for a free slot.
+    far_asked: u32,
     /// When a second attempt is due beside the one that runs.
     second: Option<Instant>,
     /// Whether a target was asked to keep the request waiting as long as it may.
@@ -126,6 +132,7 @@
         number: 0,
         sent: 0,
         refusals: 0,
+        far_asked: 0,
         second: None,
         waited: false,
         near_waited: false,
@@ -293,8 +300,12 @@
 
     /// Returns an attempt at a target that has a free slot, as far as is known.
     fn free(&mut self, near_only: bool) -> Option<BoxFuture<'j, Ended>> {
+        if !near_only && self.far_asked == MOST_FAR_ASKED {
+            return None;
+        }
         let entry = &self.job.core.entry;
         let target = entry.choose(self.job, &self.tried, near_only)?;
+        self.far_asked += u32::from(!target.near);
         // A body that can be sent once waits where it arrives first.
         let wait = match self.payload.is_held() {
             true => Duration::ZERO,
@@ -312,9 +323,15 @@
     fn least_busy(&mut self, fits: impl Fn(&TargetView) -> bool) -> Option<TargetView> {
         let now = self.job.core.clock.now();
         let to_do = |t: &TargetView| {
-            let farther = if t.near { 0.0 } else { FAR_LOAD };
+            let load = t.total(now) / f64::from(t.slots.max(1));
+            // One that is far was full, or was not asked and is taken for full.
+            let load = if t.near {
+                load
+            } else {
+                load.max(1.0) + FAR_LOAD
+            };
             let worse = if t.failing { FAILING_LOAD } else { 0.0 };
-            t.total(now) / f64::from(t.slots.max(1)) + farther + worse
+            load + worse
         };
         let least = (0..self.busy.len())
             .filter(|i| fits(&self.busy[*i]))
