Requests on routes without a useful objective take no target out

Now a deployment that states objectives judges by them alone. Ruled out: connections refused (none in the log), the floor's trials.

exchanges_without_a_useful_objective_take_no_target_out is the test (the same exchanges by the slow test do).

--- a/src/proxy/gate.rs
+++ b/src/proxy/gate.rs
@@ -14,10 +14,10 @@
 use crate::{
     clock::SharedClock,
     fleet::codec::TargetRecord,
-    policy::{eject::Others, limit::Taken, outlook::Class, queue::Rank},
+    policy::{eject::Others, limit::Taken, queue::Rank},
     proxy::{
         Code,
-        guarded::{Announcement, Guarded, Waiter},
+        guarded::{Announcement, Guarded, Test, Waiter},
         target::Pool,
     },
 };
@@ -321,9 +321,9 @@
     }
 
     /// Takes up that the exchange of a permit begins.
-    pub fn begin(&self, permit: &Permit, class: Option<Class>, repeat: bool, now: Instant) {
+    pub fn begin(&self, permit: &Permit, test: Test, repeat: bool, now: Instant) {
         if let Some(target) = self.lock().get_mut(&permit.target) {
-            target.begin(permit.ticket, class, repeat, now);
+            target.begin(permit.ticket, test, repeat, now);
         }
     }
 
--- a/src/proxy/guard.rs
+++ b/src/proxy/guard.rs
@@ -27,6 +27,7 @@
         answer::refuse,
         attempt::{ATTEMPT_HEADER, Attempt},
         gate::{Permit, Wish},
+        guarded::Test,
         job::whole_millis,
         target::Exchange,
         watch::{End, Watched},
@@ -160,6 +161,9 @@
                 let request = attempt.request.as_str();
                 let error = error.to_string();
                 spdlog::warn!("target unreachable", kv: { request, target = permit.address.as_str(), error });
+                let test = test_of(core, &attempt);
+                core.gate
+                    .begin(&permit, test, attempt.repeat, core.clock.now());
                 record(core, &attempt, &permit, Taken::Unreachable);
                 (Code::TargetUnreachable, None)
             })?;
@@ -347,6 +351,20 @@
     mark(refuse(code, Outcome::Unknown, None), Verdict::Broken)
 }
 
+/// Returns the test by which the exchange of an attempt judges its target.
+fn test_of(core: &Core, attempt: &Attempt) -> Test {
+    if !attempt.objective.is_zero() {
+        return Test::Quick(Class {
+            objective: whole_millis(attempt.objective),
+            idempotent: attempt.idempotent,
+        });
+    }
+    match core.feed.is_some() {
+        true => Test::Nothing,
+        false => Test::Slow,
+    }
+}
+
 /// Carries the request to the target and its answer back.
 async fn carry(
     ticket: Ticket,
@@ -358,12 +376,8 @@
 ) -> Response<Body> {
     let core = Arc::clone(&ticket.core);
     let sent = core.clock.now();
-    let class = Class {
-        objective: whole_millis(attempt.objective),
-        idempotent: attempt.idempotent,
-    };
-    let class = (class.objective > 0).then_some(class);
-    core.gate.begin(&permit, class, attempt.repeat, sent);
+    core.gate
+        .begin(&permit, test_of(&core, &attempt), attempt.repeat, sent);
     let named = core.dialect.echoed();
     let named = named.and_then(|name| request.headers().get(name).cloned());
     let left = deadline.saturating_duration_since(sent);
--- a/src/proxy/guarded.rs
+++ b/src/proxy/guarded.rs
@@ -67,11 +67,23 @@
     pub(super) careful: bool,
 }
 
+value! {
+    /// The test by which an exchange tells whether its target fails.
+    pub enum Test {
+        /// How long it takes, beside others of its class.
+        Quick(Class),
+        /// How it ends, beside exchanges of the other targets. What it takes out returns after a probe.
+        Slow,
+        /// None: where deployments state objectives, a route without a useful one gives its requests
+        /// less time than targets usually take.
+        Nothing,
+    }
+}
+
 /// An exchange under way.
 struct Exchanging {
     begun: Instant,
-    /// Its class, where its route states an objective; the quick test judges it then.
-    class: Option<Class>,
+    test: Test,
     /// Whether the slow test has counted it as bad already, because it takes so long.
     overdue: bool,
     /// Whether its request may have reached another target before.
@@ -226,15 +238,15 @@
         }
     }
 
-    pub(super) fn begin(&mut self, ticket: u64, class: Option<Class>, repeat: bool, now: Instant) {
+    pub(super) fn begin(&mut self, ticket: u64, test: Test, repeat: bool, now: Instant) {
         let exchange = Exchanging {
             begun: now,
-            class,
+            test,
             overdue: false,
             repeat,
         };
         self.exchanges.insert(ticket, exchange);
-        if let Some(class) = class {
+        if let Test::Quick(class) = test {
             self.outlook.begin(ticket, class, now);
         }
     }
@@ -248,7 +260,7 @@
     /// Takes up that a permit is given back; an exchange that was not recorded was abandoned.
     pub(super) fn end(&mut self, ticket: u64, now: Instant) {
         self.running = self.running.saturating_sub(1);
-        if let Some(class) = self.exchanges.remove(&ticket).and_then(|e| e.class) {
+        if let Some(Test::Quick(class)) = self.exchanges.remove(&ticket).map(|e| e.test) {
             self.outlook.end(ticket, class, Ending::Abandoned, now);
         }
     }
@@ -265,13 +277,16 @@
         if taken == Taken::Unreachable {
             self.unreachable_until = Some(now + UNREACHABLE_FOR);
         }
-        let exchange = self.exchanges.remove(&ticket);
-        if let Some(class) = exchange.as_ref().and_then(|e| e.class) {
-            self.outlook.end(ticket, class, ending(taken), now);
-            return self.goes_out(now);
-        }
-        if exchange.is_some_and(|e| e.overdue) {
+        let Some(exchange) = self.exchanges.remove(&ticket) else {
             return false;
+        };
+        match exchange.test {
+            Test::Quick(class) => {
+                self.outlook.end(ticket, class, ending(taken), now);
+                return self.goes_out(now);
+            }
+            Test::Slow if !exchange.overdue => {}
+            Test::Slow | Test::Nothing => return false,
         }
         let bad = match taken {
             Taken::Good(latency) => Detector::slow(latency, others),
@@ -292,7 +307,7 @@
     /// the target out.
     pub(super) fn count_overdue(&mut self, others: Others, now: Instant) -> bool {
         let mut out = self.goes_out(now);
-        for exchange in self.exchanges.values_mut().filter(|e| e.class.is_none()) {
+        for exchange in self.exchanges.values_mut().filter(|e| e.test == Test::Slow) {
             let lasts = now.saturating_duration_since(exchange.begun);
             if !exchange.overdue && Detector::slow(lasts, others) {
                 exchange.overdue = true;
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -27,7 +27,7 @@
     entry::Entry,
     gate::{Gate, LEASE, Permit, Wish},
     guard::{Guard, others_of},
-    guarded::Announcement,
+    guarded::{Announcement, Test},
     quota::{Quota, Role, pass_on},
     rates::Rates,
     repeats::Purpose,
--- a/tests/gray.rs
+++ b/tests/gray.rs
@@ -18,7 +18,7 @@
         queue::{Rank, RankedQueue},
         share::{Excess, Part, Size},
     },
-    proxy::{Announcement, Code, Gate, Permit, Wish},
+    proxy::{Announcement, Code, Gate, Permit, Test, Wish},
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
@@ -364,7 +364,7 @@
     gate.announce(said(1), now);
     let first = enter(&gate, now).await.unwrap();
     let second = enter(&gate, now).await.unwrap();
-    gate.begin(&first, Some(ORDER), false, now);
+    gate.begin(&first, Test::Quick(ORDER), false, now);
     let waits = tokio::spawn({
         let gate = Arc::clone(&gate);
         async move { gate.enter(&wish(now + ms(9_000)), now).await.err() }
@@ -396,7 +396,7 @@
             ..wish(now)
         };
         let permit = gate.enter(&plain, now).await.unwrap();
-        gate.begin(&permit, Some(ORDER), false, now);
+        gate.begin(&permit, Test::Quick(ORDER), false, now);
         gate.record(&permit, Taken::Erred, calm, now);
         drop(permit);
         if gate.records(now)[0].state() == TargetState::Ejected {
@@ -415,7 +415,7 @@
         let permit = gate.enter(&kept_in(false, now), now).await;
         if let Ok(permit) = permit {
             tried += 1;
-            gate.begin(&permit, Some(ORDER), false, now);
+            gate.begin(&permit, Test::Quick(ORDER), false, now);
             gate.record(&permit, Taken::Erred, calm, now);
         }
     }
@@ -426,3 +426,29 @@
     let waits = gate.enter(&kept_in(true, now + ms(100)), now).await;
     assert!(waits.is_ok(), "nobody else took it");
 }
+
+#[tokio::test]
+async fn exchanges_without_a_useful_objective_take_no_target_out() {
+    let calm = Others {
+        bad: 0.0,
+        latency: ms(20),
+    };
+    for (test, state) in [
+        (Test::Nothing, TargetState::Warm),
+        (Test::Slow, TargetState::Ejected),
+    ] {
+        let (clock, gate) = gate();
+        gate.announce(said(1), clock.now());
+        for _ in 0..8 {
+            let now = clock.now();
+            let Ok(permit) = enter(&gate, now).await else {
+                break;
+            };
+            gate.begin(&permit, test, false, now);
+            clock.advance(ms(400));
+            gate.overdue(|_, _| calm, clock.now());
+            gate.record(&permit, Taken::Erred, calm, clock.now());
+        }
+        assert_eq!(gate.records(clock.now())[0].state(), state, "{test:?}");
+    }
+}
