A node writes its row once, and not if it is there

Of 2,448 logged on a scratch copy, 463 were writes of rows by nodes that start, most of which had a row already or wrote it each second while they knew no other. Ruled out for now: reads by nodes themselves while the store is slow (some 400), reads at a start (246).

a_node_writes_its_row_once failed before (4 writes in 4 s of one node) and passes.

--- a/src/node/register.rs
+++ b/src/node/register.rs
@@ -19,47 +19,62 @@
 /// How long a node waits before it tries again what failed, or looks again for others.
 const TRY_AGAIN: Duration = Duration::from_secs(1);
 
-/// Writes this VM's row now and then, and reads those of others until some are known.
+/// Writes this VM's row now and then, unless it is there, and reads those of others until some are known.
 pub async fn register(core: Arc<Core>) {
+    let mut listed = false;
     loop {
-        let row = format!("{VM_PREFIX}{}", core.address);
-        let write = Write {
-            key: row,
-            value: Some(core.settings.centre.clone()),
-        };
-        let written = core.platform.commit(Vec::new(), vec![write]).await;
-        if let Err(error) = &written {
-            let error = error.to_string();
-            spdlog::warn!("own row not written", kv: { error });
-        }
         // A node that knows others hears of the rest from them.
         if is_alone(&core) {
-            look_up(&core).await;
+            listed |= look_up(&core).await;
+        }
+        if !listed {
+            listed = write_row(&core).await;
         }
-        let wait = match written.is_ok() && !is_alone(&core) {
+        let wait = match listed && !is_alone(&core) {
             true => RENEW_EVERY,
             false => TRY_AGAIN,
         };
         let jitter = rng().random_range(0.8..1.2);
         sleep(wait.mul_f64(jitter)).await;
+        listed &= wait < RENEW_EVERY;
     }
 }
 
-async fn look_up(core: &Core) {
-    match core.platform.scan(VM_PREFIX).await {
-        Ok(rows) => {
-            let seeds = rows.into_iter().filter_map(|(key, row)| {
-                let address = key.strip_prefix(VM_PREFIX)?.to_owned();
-                let centre = row.value;
-                Some(Seed { address, centre })
-            });
-            core.shared().seeds = seeds.collect();
+async fn write_row(core: &Core) -> bool {
+    let write = Write {
+        key: format!("{VM_PREFIX}{}", core.address),
+        value: Some(core.settings.centre.clone()),
+    };
+    match core.platform.commit(Vec::new(), vec![write]).await {
+        Ok(_) => true,
+        Err(error) => {
+            let error = error.to_string();
+            spdlog::warn!("own row not written", kv: { error });
+            false
         }
+    }
+}
+
+/// Reads the rows of all VMs, and tells whether this one's is among them.
+async fn look_up(core: &Core) -> bool {
+    let rows = match core.platform.scan(VM_PREFIX).await {
+        Ok(rows) => rows,
         Err(error) => {
             let error = error.to_string();
             spdlog::warn!("rows of others not read", kv: { error });
+            return false;
         }
-    }
+    };
+    let seeds = rows.into_iter().filter_map(|(key, row)| {
+        let address = key.strip_prefix(VM_PREFIX)?.to_owned();
+        let centre = row.value;
+        Some(Seed { address, centre })
+    });
+    let seeds: Vec<Seed> = seeds.collect();
+    let own = |seed: &Seed| *seed.address == *core.address && seed.centre == core.settings.centre;
+    let listed = seeds.iter().any(own);
+    core.shared().seeds = seeds;
+    listed
 }
 
 fn is_alone(core: &Core) -> bool {
