--- a/src/proxy/course.rs
+++ b/src/proxy/course.rs
@@ -7,8 +7,7 @@
 };
 
 use futures::{StreamExt, future::BoxFuture, stream::FuturesUnordered};
-use http::{HeaderValue, Response};
-use hyper::body::Body as _;
+use http::Response;
 use tokio::time::{sleep, timeout};
 
 use crate::{
@@ -16,14 +15,12 @@
     fleet::{Body, box_body},
     policy::queue::Rank,
     proxy::{
-        Code, OUTCOME_HEADER, Outcome,
+        Code, Outcome,
         answer::refuse,
-        attempt::{INTERNAL_PREFIX, PUBLIC_PREFIX, drop_prefix},
-        dispatch::{echoes, guard_stays, note_load},
-        head::HOP_BY_HOP,
+        delivery::deliver,
+        dispatch::{echoes, guard_stays},
         job::{Job, Tried, whole_millis},
-        payload::{HELD_ANSWER_BYTES, HELD_BYTES, Payload, hold_answer},
-        resume,
+        payload::Payload,
     },
 };
 
@@ -373,10 +370,10 @@
     async fn take_up(&mut self, target: &TargetView, tried: Tried) -> Next {
         let result = match tried {
             Tried::Answer(response, id) if echoes(response.headers(), id) => {
-                pass(self.job, target, response.map(box_body)).await
+                deliver(self.job, target, response.map(box_body)).await
             }
             Tried::Answer(..) => Err(Code::AnswerLost),
-            Tried::Local(response) => pass(self.job, target, response).await,
+            Tried::Local(response) => deliver(self.job, target, response).await,
             Tried::Broken(code) => Err(code),
             Tried::Refused(code, due) => return self.refused(target, code, due).await,
         };
@@ -461,49 +458,3 @@
         }
     }
 }
-
-/// Tells how much of an answer is held before it is passed on; nothing of one that is longer.
-fn held_bytes(job: &Job, body: &Body) -> Option<usize> {
-    let size = body.size_hint().exact();
-    let useful = job.idempotent && !job.objective().is_zero();
-    let most = if useful {
-        HELD_ANSWER_BYTES
-    } else {
-        HELD_BYTES
-    };
-    let fits = size.map_or(useful, |size| size <= most as u64);
-    fits.then_some(most)
-}
-
-/// Passes a target's answer on: held if it fits, streamed and resumed if it is long.
-async fn pass(
-    job: &Job,
-    target: &TargetView,
-    response: Response<Body>,
-) -> Result<Response<Body>, Code> {
-    note_load(target, response.headers(), job.core.clock.now());
-    let (mut parts, body) = response.into_parts();
-    drop_prefix(&mut parts.headers, INTERNAL_PREFIX);
-    drop_prefix(&mut parts.headers, PUBLIC_PREFIX);
-    for name in &HOP_BY_HOP {
-        parts.headers.remove(name);
-    }
-    let ran = HeaderValue::from_static(Outcome::Ran.name());
-    parts.headers.insert(OUTCOME_HEADER, ran);
-    let body = if let Some(most) = held_bytes(job, &body) {
-        let held = timeout(job.left(), hold_answer(body, most)).await;
-        let held = held.map_err(|_| Code::Timeout)?;
-        let (body, whole) = held.map_err(|error| {
-            let (request, error) = (job.name.as_str(), error.to_string());
-            spdlog::warn!("answer broke off", kv: { request, target = &*target.id, error });
-            Code::AnswerLost
-        })?;
-        match whole {
-            true => body,
-            false => resume::continued(job.clone(), &parts, Arc::clone(&target.id), body),
-        }
-    } else {
-        resume::continued(job.clone(), &parts, Arc::clone(&target.id), body)
-    };
-    Ok(Response::from_parts(parts, body))
-}
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -3,6 +3,7 @@
 mod answer;
 mod attempt;
 mod course;
+mod delivery;
 mod dialect;
 mod dispatch;
 mod entry;
@@ -11,6 +12,7 @@
 mod guarded;
 mod head;
 mod job;
+mod keeping;
 mod payload;
 mod quota;
 mod rates;
