A part that nobody can have granted from fills since the nodes around it are the same

A holder whose data centre has had the same nodes for some time knows that no other has granted meanwhile, so that its part fills from then on.

a_quota_that_nobody_has_used_is_there_from_the_first_request failed before at the fifth request (429).

--- a/src/board/view.rs
+++ b/src/board/view.rs
@@ -60,7 +60,7 @@
 }
 
 /// A VM as the request path sees it.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct VmView {
     /// The fleet address.
     pub address: Arc<str>,
@@ -121,6 +121,8 @@
     pub others: Vec<VmView>,
     /// Nodes of this data centre that are alive and stay, this one among them.
     pub near: Vec<VmView>,
+    /// Since when those are the same; `None` until the node looks.
+    pub near_since: Option<Instant>,
     /// The same of each other data centre.
     pub far: Vec<Vec<VmView>>,
     /// Nodes of the whole fleet that are known, alive or not.
@@ -161,6 +163,7 @@
         keepers: keepers(board, own),
         others: others(board, own),
         near: near(board, own),
+        near_since: None,
         far: far(board, own),
         nodes: u32::try_from(board.vms.len()).unwrap_or(u32::MAX),
         drained: centre.is_some_and(|c| board.centres[c].drained),
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -364,7 +364,10 @@
             loads,
             ..
         } = shared;
-        let view = render(board, index, &self.address, loads);
+        let mut view = render(board, index, &self.address, loads);
+        let last = self.view.load();
+        let same = last.near_since.filter(|_| last.near == view.near);
+        view.near_since = same.or_else(|| Some(self.clock.now()));
         self.view.store(Arc::new(view));
         shared.dirty = false;
     }
--- a/src/proxy/quota.rs
+++ b/src/proxy/quota.rs
@@ -67,12 +67,14 @@
     pauses: Mutex<HashMap<String, Instant>>,
 }
 
-/// Does something with one of a table of parts.
+/// Does something with one of a table of parts. One that is new here fills since the given instant, if
+/// no other node can have granted from it.
 fn with<T>(
     parts: &Parts,
     core: &Core,
     organisation: &Organisation,
     count: u32,
+    since: Option<Instant>,
     act: impl FnOnce(&mut Part, Size, Instant) -> T,
 ) -> T {
     let now = core.clock.now();
@@ -87,7 +89,7 @@
         .entry(organisation.name.clone())
         .or_insert_with(|| match core.settles(now) {
             true => Part::empty(now.max(core.started() + SETTLED_AFTER)),
-            false => Part::new(size, now),
+            false => Part::new(size, since.unwrap_or(now)),
         });
     act(part, size, now)
 }
@@ -148,6 +150,12 @@
     first.filter(|first| first.address != core.address)
 }
 
+/// Returns since when this node holds the parts that it holds now: since the nodes of its data centre are
+/// the same.
+fn held_since(core: &Core) -> Option<Instant> {
+    core.view.load().near_since
+}
+
 /// Passes a draw that another node asked this one for on to the node that should hold the part, if that
 /// is known here: until nodes agree on who is alive, several would grant the same part.
 ///
@@ -207,30 +215,37 @@
             .max(core.view.load().nodes as usize);
         let nodes = u32::try_from(nodes).unwrap_or(u32::MAX);
         let count = OWN_PARTS.saturating_mul(nodes);
-        with(&self.own, core, organisation, count, Part::draw)
+        with(&self.own, core, organisation, count, None, Part::draw)
     }
 
     /// Grants one request from the part that this node holds for its data centre, or from that of
     /// another one, if one is left.
     pub async fn grant(&self, core: &Core, organisation: &Organisation, role: Role) -> bool {
-        let count = match role {
-            Role::Holder => data_centres(core),
-            Role::StandIn => STAND_IN_PARTS * data_centres(core),
+        let (count, since) = match role {
+            Role::Holder => (data_centres(core), held_since(core)),
+            Role::StandIn => (STAND_IN_PARTS * data_centres(core), None),
         };
-        if with(&self.held, core, organisation, count, Part::draw) {
+        if with(&self.held, core, organisation, count, since, Part::draw) {
             return true;
         }
         let lent = self.borrow(core, organisation).await;
-        with(&self.held, core, organisation, count, |part, size, now| {
-            part.receive(lent);
-            let granted = part.draw(size, now);
-            if !granted {
-                let (name, left) = (organisation.name.as_str(), part.left());
-                let (rate, burst) = (size.rate, size.burst);
-                spdlog::info!("part of a quota spent", kv: { organisation = name, left, rate, burst });
-            }
-            granted
-        })
+        with(
+            &self.held,
+            core,
+            organisation,
+            count,
+            since,
+            |part, size, now| {
+                part.receive(lent);
+                let granted = part.draw(size, now);
+                if !granted {
+                    let (name, left) = (organisation.name.as_str(), part.left());
+                    let (rate, burst) = (size.rate, size.burst);
+                    spdlog::info!("part of a quota spent", kv: { organisation = name, left, rate, burst });
+                }
+                granted
+            },
+        )
     }
 
     /// Lends what this node holds for its data centre to the part of another one; nothing if another
@@ -240,9 +255,15 @@
             return 0;
         }
         let count = data_centres(core);
-        with(&self.held, core, organisation, count, |part, size, now| {
-            part.lend(size, most, now)
-        })
+        let since = held_since(core);
+        with(
+            &self.held,
+            core,
+            organisation,
+            count,
+            since,
+            |part, size, now| part.lend(size, most, now),
+        )
     }
 
     async fn borrow(&self, core: &Core, organisation: &Organisation) -> u32 {
