--- a/src/node/serve.rs
+++ b/src/node/serve.rs
@@ -7,7 +7,7 @@
 
 use tokio::{
     net::UdpSocket,
-    signal::unix::{Signal, SignalKind, signal},
+    signal::unix::{SignalKind, signal},
     sync::watch,
     time::sleep,
 };
@@ -80,18 +80,8 @@
     tokio::spawn(serve_local(Arc::clone(&core), local));
     tokio::spawn(listen::serve_callers(Arc::clone(&core), callers, stopping));
     extra(&core).await?;
-    let mut signals = Signals::listen()?;
-    signals.next().await;
-    let told = watch::Sender::new(Shutdown {
-        grace: core.settings.grace,
-        first: core.clock.now(),
-        latest: core.clock.now(),
-    });
-    let shutdown = told.subscribe();
-    tokio::select! {
-        () = shut_down(&core, &stop, &shutdown) => {}
-        () = note_repeated(&core, signals, &told) => {}
-    }
+    told_to_stop().await?;
+    shut_down(&core, &stop).await;
     Ok(())
 }
 
@@ -117,43 +107,22 @@
     }
 }
 
-/// The signals that tell the node to stop.
-struct Signals {
-    terminate: Signal,
-    interrupt: Signal,
-}
-
-impl Signals {
-    fn listen() -> Result<Self, Error> {
-        Ok(Self {
-            terminate: signal(SignalKind::terminate())?,
-            interrupt: signal(SignalKind::interrupt())?,
-        })
-    }
-
-    async fn next(&mut self) {
-        tokio::select! {
-            _ = self.terminate.recv() => {}
-            _ = self.interrupt.recv() => {}
-        }
-    }
-}
-
-/// Takes up signals that come during the shutdown, for as long as it takes.
-async fn note_repeated(core: &Core, mut signals: Signals, told: &watch::Sender<Shutdown>) {
-    loop {
-        signals.next().await;
-        told.send_modify(|shutdown| shutdown.latest = core.clock.now());
-        spdlog::info!("node is told to stop again", kv: { under_way = core.under_way() });
+async fn told_to_stop() -> Result<(), Error> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
     }
+    Ok(())
 }
 
 /// Tells others, hands the rates over, stops accepting, and waits for what runs.
-async fn shut_down(
-    core: &Arc<Core>,
-    stop: &watch::Sender<bool>,
-    shutdown: &watch::Receiver<Shutdown>,
-) {
+async fn shut_down(core: &Arc<Core>, stop: &watch::Sender<bool>) {
+    let shutdown = Shutdown {
+        told: core.clock.now(),
+        grace: core.settings.grace,
+    };
     spdlog::info!("node stops", kv: { under_way = core.under_way() });
     core.stop();
     let notice = match core.feed.is_some() {
@@ -167,17 +136,17 @@
     core.close();
     // Nobody listening any more is fine: the node ends anyway.
     let _ = stop.send(true);
-    wait_for_idle(core, || shutdown.borrow().answer_at()).await;
+    wait_for_idle(core, shutdown.answer_at()).await;
     core.end();
-    wait_for_idle(core, || shutdown.borrow().end_at()).await;
+    wait_for_idle(core, shutdown.end_at()).await;
     // The last answers are on their way through the sockets.
     sleep(DRAIN_EVERY).await;
     spdlog::info!("node ends", kv: { under_way = core.under_way() });
 }
 
-/// Waits until nothing runs any more, or until an instant that may move.
-async fn wait_for_idle(core: &Core, until: impl Fn() -> Instant) {
-    while core.under_way() > 0 && core.clock.now() < until() {
+/// Waits until nothing runs any more, or until an instant.
+async fn wait_for_idle(core: &Core, until: Instant) {
+    while core.under_way() > 0 && core.clock.now() < until {
         sleep(DRAIN_EVERY).await;
     }
 }
