--- a/src/node/tasks.rs
+++ b/src/node/tasks.rs
@@ -76,6 +76,11 @@
         let now = core.clock.now();
         core.guard.sweep(now);
         core.rates.sweep(now);
+        let view = core.view.load_full();
+        core.gate.configure(|name| {
+            let service = view.index.service(name)?;
+            Some((service.connections as usize, service.cold_rate))
+        });
         let others = |service: &str, target: &str| others_of(&core, service, target);
         for target in core.gate.overdue(others, now) {
             core.ejected(&target);
--- a/src/proxy/gate.rs
+++ b/src/proxy/gate.rs
@@ -168,6 +168,16 @@
         records
     }
 
+    /// Takes up what services state about their targets. Until it is known, a target that nobody has
+    /// asked yet would be taken for cold, and so hardly be asked.
+    pub fn configure(&self, stated: impl Fn(&str) -> Option<(usize, f64)>) {
+        for target in self.lock().values_mut() {
+            if let Some((connections, cold_rate)) = stated(&target.said.service) {
+                target.configure(connections, cold_rate);
+            }
+        }
+    }
+
     /// Returns how many requests run or wait at all targets.
     #[must_use]
     pub fn busy(&self) -> usize {
--- a/tests/gray.rs
+++ b/tests/gray.rs
@@ -452,3 +452,11 @@
         assert_eq!(gate.records(clock.now())[0].state(), state, "{test:?}");
     }
 }
+
+#[tokio::test]
+async fn a_target_that_nobody_has_asked_yet_is_no_colder_than_it_says() {
+    let (clock, gate) = gate();
+    gate.announce(said(1), clock.now());
+    gate.configure(|service| (service == "orders").then_some((100, 14.0)));
+    assert_eq!(gate.records(clock.now())[0].state(), TargetState::Warm);
+}
