Log announcements of newer generations, and failed fetches of them

The logs could not tell a node that was not told of a change from one that was told and could not fetch it. One line for the first announcement of a generation, one for each fetch that no peer answered.

--- a/src/node/feed_reader.rs
+++ b/src/node/feed_reader.rs
@@ -170,7 +170,7 @@
         core.fetch_now.notified().await;
         let newer = core.shared().newer;
         let held = core.shared().freshness.generation();
-        let Some((_, digest)) = newer.filter(|(generation, _)| *generation > held) else {
+        let Some((generation, digest)) = newer.filter(|(g, _)| *g > held) else {
             continue;
         };
         match fetch_from_peers(&core, digest).await {
@@ -178,6 +178,7 @@
                 install_content(&core, &feed, &content);
             }
             None => {
+                spdlog::warn!("no peer returned a newer generation", kv: { generation, held });
                 core.shared().read_requested = true;
                 core.read_now.notify_one();
             }
--- a/src/node/gossip.rs
+++ b/src/node/gossip.rs
@@ -316,6 +316,8 @@
         && let Some(manifest) = Digest::from_slice(&manifest)
         && shared.newer.is_none_or(|(known, _)| known < generation)
     {
+        let (held, node) = (shared.freshness.generation(), news.from.as_str());
+        spdlog::info!("newer generation announced", kv: { generation, held, node });
         shared.newer = Some((generation, manifest));
         core.fetch_now.notify_one();
     }
