Fetch a newer generation as long as it is announced

Callers saw: requests on routes that a change had added or moved were refused or sent by the old configuration at single nodes, up to 17.8 s after the change, while the store refused these nodes and their peers held the change.

Cause: only the first announcement of a generation woke the fetching task. It asked three random peers, which mostly did not hold the generation yet, and the store. A lost wake-up.

Why it works: gossip repeats the announcement four times a second, and the announcing node holds the generation.

Not shown: that this is the cause of the users' report on grown Heredia.

--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -16,7 +16,7 @@
 use crate::{
     config::{Digest, Index, Manifest, digest_of, read_head, unpack},
     fleet::codec::FetchRequest,
-    node::Core,
+    node::{Core, NewerGeneration},
 };
 
 /// Most reads of the head per second by the whole fleet.
@@ -55,13 +55,13 @@
     let now = core.clock.now();
     let mut shared = core.shared();
     shared.freshness.record_own_read(sent, head.generation, now);
-    let newer = head.generation > shared.freshness.generation();
-    if newer
-        && shared
-            .newer
-            .is_none_or(|(known, _)| known < head.generation)
-    {
-        shared.newer = Some((head.generation, head.manifest));
+    let known = shared.newer.as_ref().map_or(0, |newer| newer.generation);
+    if head.generation > known.max(shared.freshness.generation()) {
+        shared.newer = Some(NewerGeneration {
+            generation: head.generation,
+            manifest: head.manifest,
+            holder: None,
+        });
         core.fetch_now.notify_one();
     }
     drop(shared);
@@ -71,13 +71,14 @@
 /// Installs newer generations as they are announced.
 pub async fn install_newer(core: Arc<Core>) {
     loop {
-        let newer = core.shared().newer;
-        let held = core.shared().freshness.generation();
-        let Some((generation, digest)) = newer.filter(|(g, _)| *g > held) else {
+        let Some(newer) = core.newer_generation() else {
             core.fetch_now.notified().await;
             continue;
         };
-        if fetch_and_install(&core, generation, digest).await.is_none() {
+        if fetch_and_install(&core, newer.generation, newer.manifest)
+            .await
+            .is_none()
+        {
             sleep(RETRY_DELAY).await;
         }
     }
@@ -113,6 +114,15 @@
     Some(())
 }
 
+impl Core {
+    /// Returns the newest announced generation if it is newer than the held one.
+    pub(super) fn newer_generation(&self) -> Option<NewerGeneration> {
+        let shared = self.shared();
+        let held = shared.freshness.generation();
+        shared.newer.clone().filter(|newer| newer.generation > held)
+    }
+}
+
 /// Installs a generation, unless this node already holds it or a newer one.
 pub(super) fn install(core: &Core, index: &Arc<Index>, manifest: Digest, now: Instant) {
     let mut shared = core.shared();
@@ -146,7 +156,7 @@
     (digest_of(&content) == digest).then_some(content)
 }
 
-/// Fetches a chunk from peers, those of this data centre first, and checks its digest.
+/// Fetches a chunk from a few peers, those of this data centre first, and checks its digest.
 pub(super) async fn fetch_from_peers(core: &Core, digest: Digest) -> Option<Bytes> {
     let mut peers: Vec<Arc<str>> = {
         let view = core.view.load();
@@ -166,7 +176,7 @@
     None
 }
 
-async fn fetch_from(core: &Core, peer: &str, digest: Digest) -> Option<Bytes> {
+pub(super) async fn fetch_from(core: &Core, peer: &str, digest: Digest) -> Option<Bytes> {
     let call = async {
         let link = core.links.get(peer).await.ok()?;
         let request = FetchRequest {
--- a/src/node/feed_reader.rs
+++ b/src/node/feed_reader.rs
@@ -14,7 +14,11 @@
     board::Vm,
     config::{Index, digest_of},
     feed::{Content, Feed, Reading},
-    node::{Core, Shared, configuration::fetch_from_peers, install},
+    node::{
+        Core, Shared,
+        configuration::{fetch_from, fetch_from_peers},
+        install,
+    },
 };
 
 /// Age of the newest read at which the primary delegate reads again. Including a round of gossip and a
@@ -164,25 +168,35 @@
     Some(generation)
 }
 
-/// Fetches newer generations as they are announced: from a peer, or else from the feed.
+/// Fetches newer generations as they are announced.
+///
+/// The first announcement of a generation makes the node ask a few random peers, and then the feed, so that
+/// the announcing node doesn't have to send it to all others. As long as that fails, each further announcement
+/// makes it ask the node that announced it: the feed may refuse this node.
 pub async fn fetch_newer(core: Arc<Core>, feed: Feed) {
+    let mut tried = 0;
     loop {
         core.fetch_now.notified().await;
-        let newer = core.shared().newer;
-        let held = core.shared().freshness.generation();
-        let Some((generation, digest)) = newer.filter(|(g, _)| *g > held) else {
+        let Some(newer) = core.newer_generation() else {
             continue;
         };
-        match fetch_from_peers(&core, digest).await {
+        let generation = newer.generation;
+        let content = match newer.holder {
+            Some(holder) if tried == generation => fetch_from(&core, &holder, newer.manifest).await,
+            _ => fetch_from_peers(&core, newer.manifest).await,
+        };
+        match content {
             Some(content) => {
                 install_content(&core, &feed, &content);
             }
             None => {
+                let held = core.shared().freshness.generation();
                 spdlog::warn!("no peer returned a newer generation", kv: { generation, held });
                 core.shared().read_requested = true;
                 core.read_now.notify_one();
             }
         }
+        tried = generation;
     }
 }
 
--- a/src/node/gossip.rs
+++ b/src/node/gossip.rs
@@ -20,7 +20,7 @@
         codec::{MembersRequest, News, Packet, Pull, Record, packet},
         gossip::{answer_pull, decode, encode},
     },
-    node::{Core, Shared},
+    node::{Core, NewerGeneration, Shared},
 };
 
 /// How often a node pulls from another one.
@@ -314,12 +314,8 @@
     }
     if let Some((generation, manifest)) = result.newer
         && let Some(manifest) = Digest::from_slice(&manifest)
-        && shared.newer.is_none_or(|(known, _)| known < generation)
     {
-        let (held, node) = (shared.freshness.generation(), news.from.as_str());
-        spdlog::info!("newer generation announced", kv: { generation, held, node });
-        shared.newer = Some((generation, manifest));
-        core.fetch_now.notify_one();
+        record_newer(core, shared, generation, manifest, &news.from);
     }
     if result.needs_sync {
         shared.catch_up_peer = Some(news.from.clone());
@@ -330,6 +326,28 @@
     }
 }
 
+/// Records that a node announced a generation that is newer than the held one, and wakes the task that
+/// fetches it.
+///
+/// Every announcement wakes the task, not only the first: the nodes that it asked before may not have held the
+/// generation yet.
+fn record_newer(core: &Core, shared: &mut Shared, generation: u64, manifest: Digest, holder: &str) {
+    let known = shared.newer.as_ref().map_or(0, |newer| newer.generation);
+    if generation < known {
+        return;
+    }
+    if generation > known {
+        let held = shared.freshness.generation();
+        spdlog::info!("newer generation announced", kv: { generation, held, node = holder });
+    }
+    shared.newer = Some(NewerGeneration {
+        generation,
+        manifest,
+        holder: Some(holder.into()),
+    });
+    core.fetch_now.notify_one();
+}
+
 /// Fetches records in one call when many are missing, for example after a start.
 pub async fn catch_up(core: Arc<Core>) {
     loop {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -64,8 +64,8 @@
     pub index: Arc<Index>,
     /// The digest of that configuration's manifest.
     pub manifest: Option<Digest>,
-    /// A newer generation that has been announced, and the digest of its manifest.
-    pub newer: Option<(u64, Digest)>,
+    /// The newest generation that has been announced.
+    pub newer: Option<NewerGeneration>,
     /// Whether the request path needs a new view.
     pub dirty: bool,
     /// A node that holds many records that this node lacks.
@@ -84,6 +84,17 @@
     loads: HashMap<Arc<str>, Arc<Load>>,
 }
 
+/// A generation of the configuration that has been announced to this node.
+#[derive(Debug, Clone, PartialEq)]
+pub struct NewerGeneration {
+    /// Its number.
+    pub generation: u64,
+    /// The digest of its manifest.
+    pub manifest: Digest,
+    /// The node that last announced it, and so holds it; `None` if it was found in the head.
+    pub holder: Option<Arc<str>>,
+}
+
 /// A node that the platform's table lists.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Seed {
