Start requests at a target no faster than the rate that it states

Cause: nothing read the statements. A class of fault: a signal of the environment that no part of the program consumes.

The egress node alone sends to its target, so a token bucket there keeps the limit of the whole fleet without any agreement. A limit ends with a response that omits it, if its request was sent after the last statement. A target that has not responded yet gets four requests at once, since a restarted egress node does not know its limit. The load and the slots that ingress nodes see follow the limit, since a limited target runs few requests and would appear idle. A request that the limit makes wait longer than it may is refused at once, with the wait as Retry-After. A target that states that it is leaving is treated as if it had announced it.

--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -14,4 +14,5 @@
 pub mod roster;
 pub mod share;
 pub mod shutdown;
+pub mod stated_limit;
 pub mod suspicion;
--- a/src/policy/pace.rs
+++ b/src/policy/pace.rs
@@ -1,7 +1,7 @@
 //! The rate at which requests start at a target, for services that configure the rate a cold target
 //! can handle.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// Requests that may start at once at a cold target.
 const COLD_BURST: f64 = 4.0;
@@ -51,6 +51,15 @@
         self.tokens >= 1.0
     }
 
+    /// Returns the time until a request may start.
+    pub fn time_to_start(&mut self, rate: f64, cold: bool, now: Instant) -> Duration {
+        if self.may_start(rate, cold, now) {
+            return Duration::ZERO;
+        }
+        let refill_rate = if cold { rate } else { rate * WARM_FACTOR };
+        Duration::from_secs_f64((1.0 - self.tokens) / refill_rate)
+    }
+
     /// Records that a request starts.
     pub fn record_start(&mut self) {
         self.tokens -= 1.0;
--- a/src/policy/queue.rs
+++ b/src/policy/queue.rs
@@ -39,6 +39,12 @@
         self.ranks.values().map(FairQueue::len).sum()
     }
 
+    /// Returns the number of waiting requests that go before a new one of this rank.
+    #[must_use]
+    pub fn count_ahead(&self, rank: Rank) -> usize {
+        self.ranks.range(..=rank).map(|(_, q)| q.len()).sum()
+    }
+
     /// Returns whether no request waits.
     #[must_use]
     pub fn is_empty(&self) -> bool {
--- a/src/proxy/admission.rs
+++ b/src/proxy/admission.rs
@@ -14,7 +14,7 @@
 use crate::{
     clock::SharedClock,
     fleet::codec::TargetRecord,
-    policy::{eject::OtherTargets, limit::ExchangeResult, queue::Rank},
+    policy::{eject::OtherTargets, limit::ExchangeResult, queue::Rank, stated_limit::StatedRate},
     proxy::{
         Code,
         exchange::ConnectionPool,
@@ -26,7 +26,7 @@
 /// node.
 pub const ANNOUNCEMENT_LEASE: Duration = Duration::from_secs(2);
 
-/// How often a waiting request checks whether the pace of its target allows the next start.
+/// Shortest interval at which a waiting request checks whether the pace of its target allows the next start.
 const PACE_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Targets by id.
@@ -114,15 +114,16 @@
     }
 
     /// Marks a target as leaving; requests that wait for it are cancelled, so that they look for
-    /// another target.
-    pub fn withdraw(&self, target: &str, now: Instant) {
+    /// another target. Returns whether it was known and not leaving before.
+    pub fn withdraw(&self, target: &str, now: Instant) -> bool {
         let mut targets = self.lock();
         let Some(target) = targets.get_mut(target) else {
-            return;
+            return false;
         };
-        target.announcement.leaving = true;
+        let was_leaving = std::mem::replace(&mut target.announcement.leaving, true);
         let waiters = target.take_waiters(now);
         cancel_waiters(targets, waiters);
+        !was_leaving
     }
 
     /// Stops admission when the node shuts down: waiting requests are cancelled, so that they look
@@ -224,12 +225,35 @@
         share
     }
 
-    /// Returns the number of requests that run or wait at a target.
+    /// Returns the load of a target that is reported to ingress nodes.
     #[must_use]
     pub fn load(&self, target: &str) -> usize {
-        self.lock()
-            .get(target)
-            .map_or(0, |t| t.running + t.queue.len())
+        let now = self.clock.now();
+        let mut targets = self.lock();
+        targets.get_mut(target).map_or(0, |t| t.reported_load(now))
+    }
+
+    /// Returns how long the limit that a target states makes a new request wait; zero without a limit.
+    #[must_use]
+    pub fn limited_wait(&self, target: &str, rank: Rank) -> Duration {
+        let now = self.clock.now();
+        let mut targets = self.lock();
+        let target = targets.get_mut(target);
+        target.map_or(Duration::ZERO, |t| t.limited_wait(rank, now))
+    }
+
+    /// Applies what a response states about the rate of requests that its target takes. `sent` is when its
+    /// request was sent. Returns whether this changes the limit.
+    pub fn apply_stated_rate(
+        &self,
+        target: &str,
+        stated: StatedRate,
+        sent: Instant,
+        now: Instant,
+    ) -> bool {
+        let mut targets = self.lock();
+        let target = targets.get_mut(target);
+        target.is_some_and(|t| t.apply_stated_rate(stated, sent, now))
     }
 
     /// Waits for a permit to run a request.
@@ -252,8 +276,8 @@
                 return Err(Code::Overloaded);
             }
             // The end of an exchange admits the next request; only paced starts have to be polled for.
-            let paced = self.admit_waiting(request.target);
-            let wait = if paced { PACE_INTERVAL.min(left) } else { left };
+            let next_start = self.admit_waiting(request.target);
+            let wait = next_start.map_or(left, |next| next.max(PACE_INTERVAL).min(left));
             match timeout(wait, &mut receiver).await {
                 Ok(Ok(permit)) => return Ok(permit),
                 // The target was ejected, is suspected or is leaving, the node is shutting down, or the
@@ -294,6 +318,9 @@
         if request.deadline <= now {
             return Err(Code::Busy);
         }
+        if now + target.limited_wait(request.rank, now) > request.deadline {
+            return Err(Code::Overloaded);
+        }
         let (sender, receiver) = oneshot::channel();
         let waiter = Waiter {
             sender,
@@ -331,15 +358,13 @@
         self.admit_waiting(target_id);
     }
 
-    /// Admits waiting requests while the target has capacity, and returns whether only its pace holds
-    /// back the next one.
-    fn admit_waiting(self: &Arc<Self>, target_id: &str) -> bool {
+    /// Admits waiting requests while the target has capacity. If only its pace or its stated limit holds
+    /// back the next one, returns the time until that may start.
+    fn admit_waiting(self: &Arc<Self>, target_id: &str) -> Option<Duration> {
         let mut discarded = Vec::new();
         let mut admitted = Vec::new();
         let mut targets = self.lock();
-        let Some(target) = targets.get_mut(target_id) else {
-            return false;
-        };
+        let target = targets.get_mut(target_id)?;
         let now = self.clock.now();
         while !target.queue.is_empty() && target.has_capacity() && target.is_start_due(now) {
             let Some(waiter) = target.queue.pop(now, |t| discarded.push(t)) else {
@@ -353,6 +378,7 @@
             admitted.push((waiter.sender, self.permit(target)));
         }
         let paced = target.has_capacity() && !target.is_start_due(now);
+        let next_start = paced.then(|| target.time_to_start(now));
         drop(targets);
         // If a request no longer waits, its permit is dropped here, which takes the lock.
         for (sender, permit) in admitted {
@@ -360,7 +386,7 @@
         }
         // Dropping a waiter's sender makes its request look for another target.
         drop(discarded);
-        paced
+        next_start
     }
 
     /// Records the start of a permit's exchange.
--- a/src/proxy/egress.rs
+++ b/src/proxy/egress.rs
@@ -30,6 +30,7 @@
         error_response::error_response,
         exchange::{Exchange, Sender},
         request_context::whole_millis,
+        statements::apply_statements,
         target_state::FailureTest,
         tracked_body::{BodyEnd, TrackedBody},
     },
@@ -281,10 +282,12 @@
         avoid_suspected: !attempt.idempotent || attempt.repeat || !attempt.rank.external,
         floor: attempt.floor,
     };
-    core.admission
-        .admit(&admission_request, now)
-        .await
-        .map_err(|code| (code, None))
+    let admitted = core.admission.admit(&admission_request, now).await;
+    admitted.map_err(|code| {
+        let wait = core.admission.limited_wait(&attempt.target, attempt.rank);
+        let limited = code == Code::Overloaded && !wait.is_zero();
+        (code, limited.then_some(wait))
+    })
 }
 
 /// Builds the request that is sent to the target.
@@ -434,6 +437,7 @@
         record_result(&core, &attempt, &permit, ExchangeResult::Aborted);
         return broken_response(Code::AnswerLost);
     }
+    apply_statements(&core, &attempt.target, response.headers(), sent);
     if refused {
         log_failure(
             &attempt,
--- a/src/proxy/header_names.rs
+++ b/src/proxy/header_names.rs
@@ -21,6 +21,10 @@
     pub request_id: RequestIdHeader,
     /// Marks a response by which a target refuses to run a request.
     pub refusal: HeaderName,
+    /// States in a target's response how many requests a second it takes from all nodes together.
+    pub rate_limit: HeaderName,
+    /// States in a target's response, by the value 1, that it is leaving.
+    pub leaving: HeaderName,
     /// Tells a target the name of the service that a request comes from; `None` if targets aren't told.
     pub source_service: Option<HeaderName>,
     /// Names the target that a request is meant for; `None` if requests don't name it. Any other target
@@ -48,6 +52,8 @@
             organisation: HeaderName::from_static("x-organisation"),
             request_id: RequestIdHeader::Generated(HeaderName::from_static("x-attempt")),
             refusal: HeaderName::from_static("x-not-run"),
+            rate_limit: HeaderName::from_static("x-rate-limit"),
+            leaving: HeaderName::from_static("x-leaving"),
             source_service: None,
             expected_target: None,
             http2: true,
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -19,6 +19,7 @@
 mod request_headers;
 mod resolution;
 mod retries;
+mod statements;
 mod target_state;
 mod tracked_body;
 
--- a/src/proxy/target_state.rs
+++ b/src/proxy/target_state.rs
@@ -15,7 +15,8 @@
         eject::{Detector, OtherTargets},
         limit::{ExchangeResult, Limit},
         pace::Pace,
-        queue::RankedQueue,
+        queue::{Rank, RankedQueue},
+        stated_limit::{StatedLimit, StatedRate},
         suspicion::{ExchangeEnd, LatencyClass, Suspicion},
     },
     proxy::{admission::Permit, exchange::ConnectionPool},
@@ -28,6 +29,10 @@
 /// counts a target as used if it gets a request every two seconds.
 const TRIAL_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Requests that may run at once at a target that has not responded to this node yet, and so may have a
+/// limit that this node doesn't know.
+const UNANSWERED_LIMIT: usize = 4;
+
 /// How long the state of a leaving target is retained after its lease, since earlier announcements may
 /// arrive this late.
 const LEAVING_RETENTION: Duration = Duration::from_secs(60);
@@ -101,6 +106,10 @@
     limit: Limit,
     pace: Pace,
     cold_rate: f64,
+    /// The limit that the target states in its responses, if any.
+    stated: Option<StatedLimit>,
+    /// Whether the target has responded to this node.
+    answered: bool,
     detector: Detector,
     suspicion: Suspicion,
     /// Whether the objective test ejected the target when it was last evaluated.
@@ -123,6 +132,8 @@
             limit: Limit::new(announcement.slots, true),
             pace: Pace::new(now),
             cold_rate: 0.0,
+            stated: None,
+            answered: false,
             detector: Detector::default(),
             suspicion: Suspicion::default(),
             was_ejected: false,
@@ -198,19 +209,90 @@
             true => self.announcement.slots as usize,
             false => self.limit.allowed(),
         };
+        let limit = match self.answered {
+            true => limit,
+            false => limit.min(UNANSWERED_LIMIT),
+        };
         self.running < limit.min(self.connections)
     }
 
-    /// Returns whether the target's pace allows a request to start now.
+    /// Returns whether the target's pace and its stated limit allow a request to start now.
     pub(super) fn is_start_due(&mut self, now: Instant) -> bool {
         let cold = self.is_cold(now);
-        self.pace.may_start(self.cold_rate, cold, now)
+        let within_limit = self.stated.as_mut().is_none_or(|s| s.may_start(now));
+        within_limit && self.pace.may_start(self.cold_rate, cold, now)
+    }
+
+    /// Returns the time until the target's pace and its stated limit allow a request to start.
+    pub(super) fn time_to_start(&mut self, now: Instant) -> Duration {
+        let cold = self.is_cold(now);
+        let pace = self.pace.time_to_start(self.cold_rate, cold, now);
+        let stated = self.stated.as_mut().map(|s| s.time_to_start(0, now));
+        pace.max(stated.unwrap_or_default())
+    }
+
+    /// Returns how long the stated limit makes a new request wait behind those that already wait; zero
+    /// without a limit.
+    pub(super) fn limited_wait(&mut self, rank: Rank, now: Instant) -> Duration {
+        let ahead = self.queue.count_ahead(rank);
+        let stated = self.stated.as_mut();
+        stated.map_or(Duration::ZERO, |s| s.time_to_start(ahead, now))
+    }
+
+    /// Applies the rate that a response states, whose request was sent at `sent`. Returns whether this
+    /// changes the limit.
+    pub(super) fn apply_stated_rate(
+        &mut self,
+        stated: StatedRate,
+        sent: Instant,
+        now: Instant,
+    ) -> bool {
+        self.answered = true;
+        let before = self.stated.as_ref().map(StatedLimit::rate);
+        match (stated, &mut self.stated) {
+            (StatedRate::Limited(rate), Some(limit)) => limit.restate(rate, now),
+            (StatedRate::Limited(rate), None) => self.stated = Some(StatedLimit::new(rate, now)),
+            (StatedRate::Unlimited, Some(limit)) if limit.is_ended_by(sent) => self.stated = None,
+            (StatedRate::Unlimited | StatedRate::Malformed, _) => {}
+        }
+        before != self.stated.as_ref().map(StatedLimit::rate)
+    }
+
+    /// Returns the number of requests at once that use the target up: its slots, or fewer if its stated
+    /// limit doesn't fill them.
+    fn usable_slots(&self) -> u32 {
+        let slots = self.announcement.slots;
+        let Some(stated) = &self.stated else {
+            return slots;
+        };
+        let concurrent = stated.rate() * self.limit.usual_latency().as_secs_f64();
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "the conversion saturates"
+        )]
+        let concurrent = concurrent.ceil() as u32;
+        concurrent.clamp(1, slots.max(1))
+    }
+
+    /// Returns the load that is reported to ingress nodes: the requests that run or wait, or all usable
+    /// slots while the stated limit lets no request start.
+    pub(super) fn reported_load(&mut self, now: Instant) -> usize {
+        let load = self.running + self.queue.len();
+        let exhausted = self.stated.as_mut().is_some_and(|s| !s.may_start(now));
+        match exhausted {
+            true => load.max(self.usable_slots() as usize),
+            false => load,
+        }
     }
 
     /// Records that a request was admitted.
     pub(super) fn start_request(&mut self) {
         self.running += 1;
         self.pace.record_start();
+        if let Some(stated) = &mut self.stated {
+            stated.record_start();
+        }
     }
 
     /// Returns whether the target is ejected or was unreachable a moment ago.
@@ -385,7 +467,7 @@
             id: self.announcement.id.clone(),
             service: self.announcement.service.clone(),
             state: self.state(now).into(),
-            slots: self.announcement.slots,
+            slots: self.usable_slots(),
             latency_ms: round_latency(u32::try_from(latency).unwrap_or(u32::MAX)),
         }
     }
