A refusal on a reused connection is no proof unless it names the request

Reports of other operators: a target writes an earlier refusal once more on a kept connection, and callers are told 'not run' for requests that ran.

Shown here for reads: repeated_refusal_is_not_taken_for_response_to_next_request failed with '3 of 6 requests were refused as not run, but 6 ran' (a target that writes a refusal in place of its second answer). Orders are not affected: they never use a kept connection, and no connection is kept after a refusal; the same test covers them.

Cause: a refusal without the request's id was attributed to the request by its place on the connection alone.

--- a/src/proxy/egress.rs
+++ b/src/proxy/egress.rs
@@ -399,6 +399,7 @@
     let id_header = core.header_names.supplied_id();
     let sent_id = id_header.and_then(|name| request.headers().get(name).cloned());
     let left = deadline.saturating_duration_since(sent);
+    let reused = exchange.reused;
     let response = timeout(left, exchange.send(request)).await;
     let latency = core.clock.now().saturating_duration_since(sent);
     let (response, sender) = match response {
@@ -421,20 +422,26 @@
         }
     };
     let refused = refused_by_target(&core.header_names, &response);
-    let returned_id = id_header.map(|name| response.headers().get(name));
-    // A refusal may omit the request's id.
-    if let Some(returned_id) = returned_id
-        && returned_id != sent_id.as_ref()
-        && !(refused && returned_id.is_none())
-    {
-        // The response belongs to another request, so the connection is dropped together with it.
+    let returned_id = id_header.and_then(|name| response.headers().get(name));
+    let belongs = match returned_id {
+        // A refusal may omit the request's id. On a connection that is used again, it may then repeat the
+        // refusal of an earlier request, and proves nothing about this one.
+        None if refused => !reused,
+        _ => returned_id == sent_id.as_ref(),
+    };
+    if !belongs {
+        // The response may belong to another request, so the connection is dropped together with it.
         log_failure(
             &attempt,
             "returned the response to another request",
             latency,
-            "",
+            response.status().as_str(),
         );
-        record_result(&core, &attempt, &permit, ExchangeResult::Aborted);
+        let result = match refused {
+            true => ExchangeResult::Shed,
+            false => ExchangeResult::Aborted,
+        };
+        record_result(&core, &attempt, &permit, result);
         return broken_response(Code::AnswerLost);
     }
     apply_statements(&core, &attempt.target, response.headers(), sent);
--- a/src/proxy/exchange.rs
+++ b/src/proxy/exchange.rs
@@ -57,6 +57,8 @@
 /// A connection that is ready for one exchange.
 pub struct Exchange {
     sender: Sender,
+    /// Whether the connection carried another exchange before.
+    pub reused: bool,
 }
 
 impl Exchange {
@@ -71,7 +73,10 @@
         now: Instant,
     ) -> io::Result<Self> {
         if reuse && let Some(sender) = pool.take(now) {
-            return Ok(Self { sender });
+            return Ok(Self {
+                sender,
+                reused: true,
+            });
         }
         let connect = timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
         let stream = connect.await.map_err(|_| io::ErrorKind::TimedOut)??;
@@ -83,7 +88,10 @@
             // An error of the connection is reported to the exchange that uses it.
             let _ = connection.await;
         });
-        Ok(Self { sender })
+        Ok(Self {
+            sender,
+            reused: false,
+        })
     }
 
     /// Sends the request once, and returns the response, with its body still to be read, and the
