Cut a response body that does not end at the request's deadline

Targets may send bytes without end, in a head or a body, until the caller closes. For an order whose response has no length the body was streamed without any bound: endless_response_ends_at_route_timeout found it still open after 6 s, with a route timeout of 2 s, and the target's slot in use. Endless heads and bodies of reads ended in time.

Where the timeout bounds the whole response (a feed), a streamed body now fails at the deadline, so that the caller sees it break off and the connection to the target closes. In the fleet's own form a timeout does not bound long downloads, so nothing changes there.

--- a/src/proxy/delivery.rs
+++ b/src/proxy/delivery.rs
@@ -14,7 +14,7 @@
         attempt::{INTERNAL_PREFIX, PUBLIC_PREFIX, drop_prefix},
         continuation,
         dispatch::record_load,
-        payload::{BUFFER_LIMIT, RESPONSE_BUFFER_LIMIT, buffer_response},
+        payload::{BUFFER_LIMIT, RESPONSE_BUFFER_LIMIT, buffer_response, with_time_limit},
         request_context::RequestContext,
         request_headers::HOP_BY_HOP,
     },
@@ -53,6 +53,15 @@
     }
     let ran = HeaderValue::from_static(Outcome::Ran.name());
     parts.headers.insert(OUTCOME_HEADER, ran);
+    let stream = |body| {
+        let body =
+            continuation::resumable_body(context.clone(), &parts, Arc::clone(&target.id), body);
+        // Where the timeout bounds the whole response, a body that doesn't end must not occupy the target.
+        match context.core.feed.is_some() {
+            true => with_time_limit(body, context.remaining()),
+            false => body,
+        }
+    };
     let body = if let Some(limit) = buffer_limit(context, &body) {
         let buffered = timeout(context.remaining(), buffer_response(body, limit)).await;
         let buffered = buffered.map_err(|_| Code::Timeout)?;
@@ -63,12 +72,10 @@
         })?;
         match is_complete {
             true => body,
-            false => {
-                continuation::resumable_body(context.clone(), &parts, Arc::clone(&target.id), body)
-            }
+            false => stream(body),
         }
     } else {
-        continuation::resumable_body(context.clone(), &parts, Arc::clone(&target.id), body)
+        stream(body)
     };
     Ok(Response::from_parts(parts, body))
 }
--- a/src/proxy/payload.rs
+++ b/src/proxy/payload.rs
@@ -6,7 +6,7 @@
 use futures::{StreamExt, stream};
 use http_body_util::{BodyExt, BodyStream, StreamBody};
 use hyper::body::{Body as _, Frame, Incoming};
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::{
     fleet::{Body, BoxError, box_body, empty, full},
@@ -116,6 +116,22 @@
     )))
 }
 
+/// Returns a body that fails if it has not ended after `limit`.
+pub(super) fn with_time_limit(body: Body, limit: Duration) -> Body {
+    let deadline = Instant::now() + limit;
+    let frames = stream::unfold(Some(BodyStream::new(body)), move |state| async move {
+        let mut frames = state?;
+        match timeout_at(deadline, frames.next()).await {
+            Ok(next) => next.map(|frame| {
+                let rest = frame.is_ok().then_some(frames);
+                (frame, rest)
+            }),
+            Err(elapsed) => Some((Err(BoxError::from(elapsed)), None)),
+        }
+    });
+    box_body(StreamBody::new(frames))
+}
+
 /// Returns a body that yields the chunks and then the rest of `body`. If `idle_timeout` is given, it fails if a
 /// frame takes longer.
 fn with_idle_timeout(chunks: Vec<Bytes>, body: Body, idle_timeout: Option<Duration>) -> Body {
