Log where a generation came from, its size, and how long the fetch and the decoding took

The log could not tell a slow fetch from a slow decoder.

No logic changes. whole_millis moves to the clock module, as the node's tasks use it now, too.

--- a/src/clock.rs
+++ b/src/clock.rs
@@ -24,6 +24,12 @@
     u64::try_from(since_epoch.as_micros()).unwrap_or(u64::MAX)
 }
 
+/// Returns a duration in whole milliseconds, for headers and logs.
+#[must_use]
+pub fn whole_millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// A clock that tasks share.
 pub type SharedClock = Arc<dyn Clock>;
 
--- a/src/node/feed_reader.rs
+++ b/src/node/feed_reader.rs
@@ -12,6 +12,7 @@
 
 use crate::{
     board::Vm,
+    clock::whole_millis,
     config::{Index, digest_of},
     feed::{Content, Feed, Reading},
     node::{
@@ -114,7 +115,8 @@
     let generation = match &reading.content {
         None => position.generation,
         Some(Content::Empty) => 0,
-        Some(Content::Written(content)) => match install_content(core, feed, content) {
+        Some(Content::Written(content)) => match install_content(core, feed, content, "feed", sent)
+        {
             Some(generation) => generation,
             // Content that can't be decoded neither replaces the held generation nor counts as a read.
             None => return true,
@@ -136,14 +138,21 @@
     let now = core.clock.now();
     let age = core.shared().freshness.head_age(now);
     let age_ms = age.map_or(-1, |a| i64::try_from(a.as_millis()).unwrap_or(i64::MAX));
-    let took = now.saturating_duration_since(sent).as_millis();
-    let took_ms = u64::try_from(took).unwrap_or(u64::MAX);
+    let took_ms = whole_millis(now.saturating_duration_since(sent));
     spdlog::warn!("failed to read the feed", kv: { error, age_ms, took_ms });
     false
 }
 
-/// Decodes a generation, installs it if it is newer, and returns its number.
-fn install_content(core: &Core, feed: &Feed, content: &Bytes) -> Option<u64> {
+/// Decodes a generation, installs it if it is newer, and returns its number. `source` and `requested` tell the
+/// log where it came from, and when it was requested there.
+fn install_content(
+    core: &Core,
+    feed: &Feed,
+    content: &Bytes,
+    source: &str,
+    requested: Instant,
+) -> Option<u64> {
+    let received = core.clock.now();
     let digest = digest_of(content);
     let held = core.shared().freshness.generation();
     if core.shared().manifest == Some(digest) {
@@ -159,9 +168,13 @@
     };
     if generation > held {
         let index = Arc::new(Index::new(generation, Arc::new(document)));
-        install(core, &index, digest, core.clock.now());
+        let now = core.clock.now();
+        install(core, &index, digest, now);
         core.set_chunks([(digest, content.clone())].into());
-        spdlog::info!("generation installed", kv: { generation, held });
+        let bytes = content.len();
+        let fetch_ms = whole_millis(received.saturating_duration_since(requested));
+        let decode_ms = whole_millis(now.saturating_duration_since(received));
+        spdlog::info!("generation installed", kv: { generation, held, source, bytes, fetch_ms, decode_ms });
         core.update_record();
         core.gossip_now.notify_one();
     }
@@ -181,13 +194,14 @@
             continue;
         };
         let generation = newer.generation;
+        let requested = core.clock.now();
         let content = match newer.holder {
             Some(holder) if tried == generation => fetch_from(&core, &holder, newer.manifest).await,
             _ => fetch_from_peers(&core, newer.manifest).await,
         };
         match content {
             Some(content) => {
-                install_content(&core, &feed, &content);
+                install_content(&core, &feed, &content, "peer", requested);
             }
             None => {
                 let held = core.shared().freshness.generation();
--- a/src/proxy/egress.rs
+++ b/src/proxy/egress.rs
@@ -14,6 +14,7 @@
 use tokio::time::timeout;
 
 use crate::{
+    clock::whole_millis,
     config::Organisation,
     fleet::{Body, box_body},
     node::Core,
@@ -29,7 +30,6 @@
         attempt::{ATTEMPT_HEADER, Attempt},
         error_response::error_response,
         exchange::{Exchange, Sender},
-        request_context::whole_millis,
         statements::apply_statements,
         target_state::FailureTest,
         tracked_body::{BodyEnd, TrackedBody},
--- a/src/proxy/ingress.rs
+++ b/src/proxy/ingress.rs
@@ -17,6 +17,7 @@
 
 use crate::{
     board::View,
+    clock::whole_millis,
     config::{Access, Organisation, RouteMatch},
     fleet::Body,
     node::Core,
@@ -26,7 +27,7 @@
         error_response::{CODE_HEADER, error_response},
         lifecycle::run,
         payload::{Payload, buffer_request},
-        request_context::{RequestContext, whole_millis},
+        request_context::RequestContext,
         request_headers::{authenticate, client_timeout, forwarded_headers, requested_host},
         retries::RetryBudgets,
     },
--- a/src/proxy/lifecycle.rs
+++ b/src/proxy/lifecycle.rs
@@ -12,6 +12,7 @@
 
 use crate::{
     board::TargetView,
+    clock::whole_millis,
     fleet::{Body, box_body},
     policy::queue::Rank,
     proxy::{
@@ -20,7 +21,7 @@
         dispatch::{belongs_to, is_egress_active},
         error_response::error_response,
         payload::Payload,
-        request_context::{AttemptOutcome, RequestContext, whole_millis},
+        request_context::{AttemptOutcome, RequestContext},
     },
 };
 
--- a/src/proxy/request_context.rs
+++ b/src/proxy/request_context.rs
@@ -60,11 +60,6 @@
     }
 }
 
-/// Returns a duration in whole milliseconds, for headers and logs.
-pub(super) fn whole_millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
-
 impl RequestContext {
     /// Returns the time that remains until the deadline.
     pub(super) fn remaining(&self) -> Duration {
