Fetch only what a configuration change alters, and don't restart slow transfers

Cause: a read of the store had 0.9 s and a fetch from a node 1 s for the whole configuration, whatever its size. At 10 Mbit/s a transfer of 1 MB takes longer, was discarded and begun again, by up to 24 nodes of a data centre at once from one node's link. Each change, however small, needed all of it. Class: a timeout on the total duration of work whose size grows, with retries that discard progress.

Ruled out: slow decoding (up to 0.4 s at a tenth of a core, no failure); lost announcements (each node logged them).

Why it works: the content is divided into segments by its bytes, so that a moved route alters two or three of them besides the first one and the list; nodes fetch these from the announcing node and keep what they have. Large differences come from the store, whose responses are now limited by progress.

--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -7,6 +7,7 @@
 mod head;
 mod index;
 mod key;
+mod segment;
 
 pub use self::{
     chunk::{ChunkError, Digest, Manifest, Packed, digest_of, pack, unpack},
@@ -21,4 +22,5 @@
     },
     index::{Index, RouteMatch},
     key::{GrantedKey, KEY_HEADER, digest_key, digests_equal, generate_key},
+    segment::{Segments, parse_list},
 };
--- a/src/net.rs
+++ b/src/net.rs
@@ -2,10 +2,10 @@
 
 use std::{io, time::Duration};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::client::conn::http1;
+use http_body_util::{BodyExt, Full};
+use hyper::{body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
 use thiserror::Error;
 use tokio::{net::TcpStream, time::timeout};
@@ -24,46 +24,88 @@
     Timeout,
 }
 
+/// How long the parts of an exchange may take.
+#[derive(Debug, Clone, Copy)]
+pub struct TimeLimits {
+    /// Longest time for connecting, for the response head, and between two parts of the response body.
+    pub step: Duration,
+    /// Longest time from the connection to the end of the response body. A large response may take many steps
+    /// over a slow link.
+    pub total: Duration,
+}
+
+impl TimeLimits {
+    /// Limits the exchange as a whole to the same time as connecting.
+    #[must_use]
+    pub fn whole(limit: Duration) -> Self {
+        Self {
+            step: limit,
+            total: limit,
+        }
+    }
+}
+
 /// Largest size of a response body, in bytes.
 const MAX_RESPONSE_BYTES: usize = 64 << 20;
 
-/// Sends a request and reads the whole response. `limit` bounds the connect and, separately, the
-/// exchange.
+/// Sends a request and reads the whole response.
 ///
 /// # Errors
 /// [`NetError`]; only [`NetError::Connect`] proves that nothing was sent.
 pub async fn exchange(
     address: &str,
     request: Request<Full<Bytes>>,
-    limit: Duration,
+    limits: TimeLimits,
 ) -> Result<(StatusCode, Bytes), NetError> {
-    let stream = match timeout(limit, TcpStream::connect(address)).await {
+    let stream = match timeout(limits.step, TcpStream::connect(address)).await {
         Ok(Ok(stream)) => stream,
         Ok(Err(error)) => return Err(NetError::Connect(error)),
         Err(_) => return Err(NetError::Connect(io::ErrorKind::TimedOut.into())),
     };
-    match timeout(limit, send_and_receive(stream, request)).await {
+    let exchange = send_and_receive(stream, request, limits.step);
+    match timeout(limits.total, exchange).await {
         Ok(result) => result,
         Err(_) => Err(NetError::Timeout),
     }
 }
 
+/// Sends a request and reads the response, whose head and parts of the body may each take as long as `step`.
 async fn send_and_receive(
     stream: TcpStream,
     request: Request<Full<Bytes>>,
+    step: Duration,
 ) -> Result<(StatusCode, Bytes), NetError> {
-    let failed = |e: &dyn std::fmt::Display| NetError::Exchange(e.to_string());
-    stream.set_nodelay(true).map_err(|e| failed(&e))?;
+    stream.set_nodelay(true).map_err(failed)?;
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
         .await
-        .map_err(|e| failed(&e))?;
+        .map_err(failed)?;
     let driver = tokio::spawn(connection);
-    let response: Response<_> = sender.send_request(request).await.map_err(|e| failed(&e))?;
+    let response = timeout(step, sender.send_request(request)).await;
+    let response = response.map_err(|_| NetError::Timeout)?.map_err(failed)?;
     let status = response.status();
-    let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES)
-        .collect()
-        .await
-        .map_err(|e| failed(&e))?;
+    let content = read_body(response, step).await?;
     driver.abort();
-    Ok((status, body.to_bytes()))
+    Ok((status, content))
+}
+
+async fn read_body(response: Response<Incoming>, step: Duration) -> Result<Bytes, NetError> {
+    let mut body = response.into_body();
+    let mut content = BytesMut::new();
+    while let Some(frame) = timeout(step, body.frame())
+        .await
+        .map_err(|_| NetError::Timeout)?
+    {
+        let Ok(part) = frame.map_err(failed)?.into_data() else {
+            continue;
+        };
+        if content.len() + part.len() > MAX_RESPONSE_BYTES {
+            return Err(NetError::Exchange("the response is too large".to_owned()));
+        }
+        content.extend_from_slice(&part);
+    }
+    Ok(content.freeze())
+}
+
+fn failed(error: impl std::fmt::Display) -> NetError {
+    NetError::Exchange(error.to_string())
 }
--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -157,7 +157,7 @@
 }
 
 /// Fetches a chunk from a few peers, those of this data centre first, and checks its digest.
-pub(super) async fn fetch_from_peers(core: &Core, digest: Digest) -> Option<Bytes> {
+async fn fetch_from_peers(core: &Core, digest: Digest) -> Option<Bytes> {
     let mut peers: Vec<Arc<str>> = {
         let view = core.view.load();
         view.peers
--- a/src/node/feed_reader.rs
+++ b/src/node/feed_reader.rs
@@ -13,13 +13,9 @@
 use crate::{
     board::Vm,
     clock::whole_millis,
-    config::{Index, digest_of},
+    config::{Index, Segments},
     feed::{Content, Feed, Reading},
-    node::{
-        Core, Shared,
-        configuration::{fetch_from, fetch_from_peers},
-        install,
-    },
+    node::{Core, Shared, install},
 };
 
 /// Age of the newest read at which the primary delegate reads again. Including a round of gossip and a
@@ -40,8 +36,9 @@
 /// Shortest wait before the age of the newest read is checked again.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Timeout of one read.
-const READ_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Timeout of one read. A feed that doesn't respond at all ends the read sooner; a large configuration takes seconds
+/// over a slow link.
+const READ_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Base of the delay after failed reads, which doubles with each failure, and the longest delay.
 const RETRY_BASE: Duration = Duration::from_millis(250);
@@ -72,7 +69,9 @@
             }
         }
         core.shared().read_requested = false;
-        if read_once(&core, &feed, &mut position).await {
+        let answered = read_once(&core, &feed, &mut position).await;
+        core.shared().feed_failing = !answered;
+        if answered {
             if failures > 0 {
                 spdlog::info!("feed can be read again", kv: { failures });
             }
@@ -115,8 +114,7 @@
     let generation = match &reading.content {
         None => position.generation,
         Some(Content::Empty) => 0,
-        Some(Content::Written(content)) => match install_content(core, feed, content, "feed", sent)
-        {
+        Some(Content::Written(content)) => match install_read(core, feed, content, sent) {
             Some(generation) => generation,
             // Content that can't be decoded neither replaces the held generation nor counts as a read.
             None => return true,
@@ -143,21 +141,41 @@
     false
 }
 
-/// Decodes a generation, installs it if it is newer, and returns its number. `source` and `requested` tell the
-/// log where it came from, and when it was requested there.
+/// Decodes and installs a generation that was read from the feed at `requested`, if it is newer than the held one.
+/// Returns its number.
+fn install_read(core: &Core, feed: &Feed, content: &Bytes, requested: Instant) -> Option<u64> {
+    let received = core.clock.now();
+    let segments = Segments::split(content);
+    if core.shared().manifest == Some(segments.digest) {
+        return Some(core.shared().freshness.generation());
+    }
+    let times = (requested, received);
+    install_content(core, feed, segments, content, "feed", times)
+}
+
+/// Decodes and installs a generation that was fetched from another node, whose fetch began at `requested`.
+pub(super) fn install_fetched(
+    core: &Core,
+    feed: &Feed,
+    segments: Segments,
+    content: &Bytes,
+    requested: Instant,
+) {
+    let times = (requested, core.clock.now());
+    install_content(core, feed, segments, content, "peer", times);
+}
+
+/// Decodes a generation, installs it if it is newer, and returns its number. `source` and the times at which it was
+/// requested and received are for the log.
 fn install_content(
     core: &Core,
     feed: &Feed,
+    segments: Segments,
     content: &Bytes,
     source: &str,
-    requested: Instant,
+    (requested, received): (Instant, Instant),
 ) -> Option<u64> {
-    let received = core.clock.now();
-    let digest = digest_of(content);
     let held = core.shared().freshness.generation();
-    if core.shared().manifest == Some(digest) {
-        return Some(held);
-    }
     let (generation, document) = match (feed.decode)(content) {
         Ok(decoded) => decoded,
         Err(error) => {
@@ -169,8 +187,8 @@
     if generation > held {
         let index = Arc::new(Index::new(generation, Arc::new(document)));
         let now = core.clock.now();
-        install(core, &index, digest, now);
-        core.set_chunks([(digest, content.clone())].into());
+        install(core, &index, segments.digest, now);
+        core.set_chunks(segments.chunks);
         let bytes = content.len();
         let fetch_ms = whole_millis(received.saturating_duration_since(requested));
         let decode_ms = whole_millis(now.saturating_duration_since(received));
@@ -181,39 +199,6 @@
     Some(generation)
 }
 
-/// Fetches newer generations as they are announced.
-///
-/// The first announcement of a generation makes the node ask a few random peers, and then the feed, so that
-/// the announcing node doesn't have to send it to all others. As long as that fails, each further announcement
-/// makes it ask the node that announced it: the feed may refuse this node.
-pub async fn fetch_newer(core: Arc<Core>, feed: Feed) {
-    let mut tried = 0;
-    loop {
-        core.fetch_now.notified().await;
-        let Some(newer) = core.newer_generation() else {
-            continue;
-        };
-        let generation = newer.generation;
-        let requested = core.clock.now();
-        let content = match newer.holder {
-            Some(holder) if tried == generation => fetch_from(&core, &holder, newer.manifest).await,
-            _ => fetch_from_peers(&core, newer.manifest).await,
-        };
-        match content {
-            Some(content) => {
-                install_content(&core, &feed, &content, "peer", requested);
-            }
-            None => {
-                let held = core.shared().freshness.generation();
-                spdlog::warn!("no peer returned a newer generation", kv: { generation, held });
-                core.shared().read_requested = true;
-                core.read_now.notify_one();
-            }
-        }
-        tried = generation;
-    }
-}
-
 impl Shared {
     /// Applies the drained data centres of a reading, if it is newer than the last one.
     pub(super) fn apply_drains(&mut self, core: &Core, reading: &Reading) {
--- /dev/null
+++ b/src/node/generation_fetch.rs
@@ -0,0 +1,128 @@
+//! Fetches newer generations of a feed from the nodes that announce them.
+
+use std::{
+    collections::{HashMap, HashSet},
+    sync::Arc,
+};
+
+use bytes::Bytes;
+use futures::{StreamExt, stream};
+
+use crate::{
+    config::{Digest, Segments, parse_list},
+    feed::Feed,
+    node::{Core, NewerGeneration, configuration::fetch_from, feed_reader::install_fetched},
+};
+
+/// Most segments that are fetched from the announcing node while the feed can be read, some 120 KB. Nodes that need
+/// more read the feed, so that a node with a slow link doesn't have to send a large configuration to many others.
+const MAX_PEER_SEGMENTS: usize = 24;
+
+/// Number of segments that are fetched at once.
+const FETCH_CONCURRENCY: usize = 8;
+
+/// A generation that is being fetched.
+#[derive(Default)]
+struct Download {
+    generation: u64,
+    /// The digest of its list of segments.
+    manifest: Option<Digest>,
+    /// The digests of its segments in order; empty until they are known.
+    list: Vec<Digest>,
+    /// The segments fetched so far, of this generation or of earlier ones that were not completed.
+    fetched: HashMap<Digest, Bytes>,
+    /// Whether a read of the feed was requested for this generation.
+    read_requested: bool,
+}
+
+/// Fetches newer generations as they are announced.
+///
+/// A node fetches the segments that differ from the generation that it holds, from the node that announced the
+/// newer one. If many differ, it reads the feed instead; but if the feed can't be read, it fetches all segments. Each
+/// announcement resumes the fetch where the last one ended.
+pub async fn fetch_newer(core: Arc<Core>, feed: Feed) {
+    let mut download = Download::default();
+    loop {
+        core.fetch_now.notified().await;
+        let Some(newer) = core.newer_generation() else {
+            continue;
+        };
+        let Some(holder) = newer.holder.clone() else {
+            continue;
+        };
+        let requested = core.clock.now();
+        download.start(&newer);
+        if let Some((segments, content)) = download.resume(&core, &holder).await {
+            install_fetched(&core, &feed, segments, &content, requested);
+            download = Download::default();
+        }
+    }
+}
+
+impl Download {
+    /// Starts to fetch an announced generation, unless that has been started before.
+    fn start(&mut self, newer: &NewerGeneration) {
+        if self.generation == newer.generation && self.manifest == Some(newer.manifest) {
+            return;
+        }
+        *self = Self {
+            generation: newer.generation,
+            manifest: Some(newer.manifest),
+            fetched: std::mem::take(&mut self.fetched),
+            ..Self::default()
+        };
+    }
+
+    /// Fetches what is missing from a node that holds the generation. Returns the generation's content once it is
+    /// complete.
+    async fn resume(&mut self, core: &Core, holder: &str) -> Option<(Segments, Bytes)> {
+        if self.list.is_empty() {
+            let list = fetch_from(core, holder, self.manifest?).await;
+            self.list = list.and_then(|l| parse_list(&l)).unwrap_or_default();
+        }
+        let held = core.chunks();
+        let missing: HashSet<Digest> = self
+            .list
+            .iter()
+            .filter(|d| !held.contains_key(*d) && !self.fetched.contains_key(*d))
+            .copied()
+            .collect();
+        let many = self.list.is_empty() || missing.len() > MAX_PEER_SEGMENTS;
+        if many && self.request_read(core) {
+            return None;
+        }
+        let fetches = missing.into_iter().map(|digest| async move {
+            let segment = fetch_from(core, holder, digest).await?;
+            Some((digest, segment))
+        });
+        let fetched: Vec<_> = stream::iter(fetches)
+            .buffer_unordered(FETCH_CONCURRENCY)
+            .collect()
+            .await;
+        self.fetched.extend(fetched.into_iter().flatten());
+        let find = |digest: &Digest| self.fetched.get(digest).or(held.get(digest)).cloned();
+        let complete = (!self.list.is_empty())
+            .then(|| Segments::join(&self.list, find))
+            .flatten();
+        if complete.is_none() {
+            let (generation, segments) = (self.generation, self.list.len());
+            let fetched = self.fetched.len();
+            spdlog::warn!("newer generation not fetched completely", kv: { generation, node = holder, segments, fetched });
+        }
+        complete
+    }
+
+    /// Requests a read of the feed once for this generation. Returns false if the feed can't be read.
+    fn request_read(&mut self, core: &Core) -> bool {
+        let mut shared = core.shared();
+        if shared.feed_failing {
+            return false;
+        }
+        if !self.read_requested {
+            self.read_requested = true;
+            shared.read_requested = true;
+            core.read_now.notify_one();
+        }
+        true
+    }
+}
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -4,6 +4,7 @@
 mod configuration;
 mod control_service;
 mod feed_reader;
+mod generation_fetch;
 mod gossip;
 mod listener;
 mod ownership;
@@ -78,6 +79,8 @@
     pub drains_revision: u64,
     /// Whether the feed has to be read at once.
     read_requested: bool,
+    /// Whether the last read of the feed failed.
+    feed_failing: bool,
     /// Chunks of the held configuration, which other nodes may fetch.
     chunks: HashMap<Digest, Bytes>,
     /// Loads of targets, which successive views share.
@@ -89,7 +92,7 @@
 pub struct NewerGeneration {
     /// Its number.
     pub generation: u64,
-    /// The digest of its manifest.
+    /// The digest of its manifest, or in a deployment with a feed of its list of segments.
     pub manifest: Digest,
     /// The node that last announced it, and so holds it; `None` if it was found in the head.
     pub holder: Option<Arc<str>>,
@@ -186,6 +189,7 @@
             drained: Vec::new(),
             drains_revision: 0,
             read_requested: false,
+            feed_failing: false,
             chunks: HashMap::new(),
             loads: HashMap::new(),
         };
--- a/src/node/periodic_tasks.rs
+++ b/src/node/periodic_tasks.rs
@@ -7,7 +7,11 @@
 use http_body_util::Full;
 use tokio::time::{interval, sleep, timeout};
 
-use crate::{net::exchange, node::Core, proxy::other_targets};
+use crate::{
+    net::{TimeLimits, exchange},
+    node::Core,
+    proxy::other_targets,
+};
 
 /// How often liveness and views are updated if no change is signalled.
 const RENDER_INTERVAL: Duration = Duration::from_millis(100);
@@ -103,7 +107,7 @@
         .header("host", address)
         .body(Full::new(Bytes::new()));
     let Ok(request) = request else { return false };
-    match exchange(address, request, PROBE_TIMEOUT).await {
+    match exchange(address, request, TimeLimits::whole(PROBE_TIMEOUT)).await {
         Ok((status, _)) => status.is_success(),
         Err(_) => false,
     }
--- a/src/node/runner.rs
+++ b/src/node/runner.rs
@@ -17,7 +17,8 @@
     error::Error,
     feed::Feed,
     node::{
-        Core, configuration, feed_reader, gossip, listener, ownership, periodic_tasks, registration,
+        Core, configuration, feed_reader, generation_fetch, gossip, listener, ownership,
+        periodic_tasks, registration,
     },
     ops::serve_local,
     platform::{Platform, http_platform},
@@ -105,7 +106,7 @@
     match core().feed.clone() {
         Some(feed) => {
             tokio::spawn(feed_reader::follow(core(), feed.clone()));
-            tokio::spawn(feed_reader::fetch_newer(core(), feed));
+            tokio::spawn(generation_fetch::fetch_newer(core(), feed));
         }
         None => {
             tokio::spawn(configuration::poll_head(core()));
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -9,7 +9,7 @@
 use serde_json::json;
 
 use crate::{
-    net::exchange,
+    net::{TimeLimits, exchange},
     platform::{Platform, PlatformError, check_status, malformed},
 };
 
@@ -23,16 +23,16 @@
 #[derive(Clone)]
 pub struct HttpClient {
     address: Arc<str>,
-    timeout: Duration,
+    limits: TimeLimits,
 }
 
 impl HttpClient {
-    /// Creates a client whose calls may each take as long as `timeout`.
+    /// Creates a client whose calls have these time limits.
     #[must_use]
-    pub fn new(address: &str, timeout: Duration) -> Self {
+    pub fn new(address: &str, limits: TimeLimits) -> Self {
         Self {
             address: address.into(),
-            timeout,
+            limits,
         }
     }
 
@@ -53,7 +53,7 @@
             .header(header::CONTENT_TYPE, CONTENT_TYPE)
             .body(Full::new(body))
             .map_err(malformed)?;
-        let answer = exchange(&self.address, request, self.timeout).await;
+        let answer = exchange(&self.address, request, self.limits).await;
         answer.map_err(PlatformError::from)
     }
 
@@ -83,7 +83,7 @@
 /// Creates a [`Platform`] that calls the platform at an address.
 #[must_use]
 pub fn http_platform(address: &str) -> Platform {
-    let client = HttpClient::new(address, CALL_TIMEOUT);
+    let client = HttpClient::new(address, TimeLimits::whole(CALL_TIMEOUT));
     let (read, scan, commit) = (client.clone(), client.clone(), client.clone());
     let (get, put) = (client.clone(), client);
     Platform {
