Wait before a configuration that can't be decoded is read again

Callers saw nothing at once; a node spent its processor time and the store's calls on reads without pause, and each of them transfers the whole configuration.

Cause: content that can't be decoded does not count as a read, so that the next one was due at once, and it did not count as a failure either, so that there was no delay. Class: a third result that is neither success nor failure and falls through both.

The node serves by the held generation meanwhile and installs the next valid one.

--- a/src/node/feed_reader.rs
+++ b/src/node/feed_reader.rs
@@ -69,9 +69,9 @@
             }
         }
         core.shared().read_requested = false;
-        let answered = read_once(&core, &feed, &mut position).await;
-        core.shared().feed_failing = !answered;
-        if answered {
+        let succeeded = read_once(&core, &feed, &mut position).await;
+        core.shared().feed_failing = !succeeded;
+        if succeeded {
             if failures > 0 {
                 spdlog::info!("feed can be read again", kv: { failures });
             }
@@ -102,7 +102,7 @@
     read_age.saturating_sub(age)
 }
 
-/// Reads the feed, installs its content, and returns whether the feed answered.
+/// Reads the feed, installs its content, and returns whether that succeeded.
 async fn read_once(core: &Core, feed: &Feed, position: &mut Position) -> bool {
     let sent = core.clock.now();
     let reading = timeout(READ_TIMEOUT, (feed.read)(position.revision)).await;
@@ -116,8 +116,8 @@
         Some(Content::Empty) => 0,
         Some(Content::Written(content)) => match install_read(core, feed, content, sent) {
             Some(generation) => generation,
-            // Content that can't be decoded neither replaces the held generation nor counts as a read.
-            None => return true,
+            // Content that can't be decoded doesn't replace the held generation, and is read again after a delay.
+            None => return false,
         },
     };
     *position = Position {
