A node that is known to be outdated refuses keyed requests at the bound of a change

A node that knows of a newer generation is now fresh only until its newest proof is as old as a change may take, which the deployment states (change_s). The answer is a 503, which says that the request has not run, instead of one by the wrong route. Nothing changes where no newer generation is known, as in an outage of the store. Open routes are still served, since a generation that nobody can fetch must not stop them.

--- a/src/node/gossip.rs
+++ b/src/node/gossip.rs
@@ -336,6 +336,7 @@
     if generation < known {
         return;
     }
+    shared.freshness.record_announcement(generation);
     if generation > known {
         let held = shared.freshness.generation();
         spdlog::info!("newer generation announced", kv: { generation, held, node = holder });
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -237,9 +237,14 @@
     }
 
     /// Returns whether keyed and rate-limited requests may start now.
+    ///
+    /// Where the deployment bounds the time until a change is in force, they may not start by a generation that is
+    /// known to be outdated for that long.
     #[must_use]
     pub fn is_fresh(&self, now: Instant) -> bool {
-        self.shared().freshness.is_fresh(now)
+        let freshness = &self.shared().freshness;
+        let overdue = |bound| freshness.is_overdue(bound, now);
+        freshness.is_fresh(now) && !self.settings.change.is_some_and(overdue)
     }
 
     /// Returns the incarnation of this node as an owner of slices, which fences refer to.
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -67,6 +67,8 @@
     pub grace: Duration,
     /// How long a caller's connection may be idle between requests, or take to send a request head.
     pub idle: Duration,
+    /// Longest time until a change of the configuration is in force, if the deployment bounds it.
+    pub change: Option<Duration>,
     /// Defaults for services whose configuration omits these fields.
     pub defaults: Defaults,
 }
@@ -118,6 +120,7 @@
     quota_window_s: f64,
     grace_s: f64,
     idle_s: f64,
+    change_s: f64,
     floor: f64,
     retry_share: f64,
     retry_slack: u32,
@@ -142,6 +145,7 @@
         quota_window_s: fields.number("quota_window_s", 0.1..=3600.0, 5.0),
         grace_s: fields.number("grace_s", 0.0..=MAX_SECONDS, DEFAULT_GRACE_S),
         idle_s: fields.number("idle_s", 1.0..=MAX_SECONDS, DEFAULT_IDLE_S),
+        change_s: fields.number("change_s", 0.0..=MAX_SECONDS, 0.0),
         floor: fields.number("floor", 0.0..=1.0, DEFAULT_FLOOR),
         retry_share: fields.number("retry_share", 0.0..=1.0, DEFAULT_RETRY_SHARE),
         retry_slack: fields.integer("retry_slack", 0..=MAX_VALUE, 0),
@@ -289,6 +293,7 @@
         },
         grace: Duration::from_secs_f64(file.grace_s),
         idle: Duration::from_secs_f64(file.idle_s),
+        change: (file.change_s > 0.0).then(|| Duration::from_secs_f64(file.change_s)),
         defaults: Defaults {
             floor: file.floor,
             retry_share: file.retry_share,
