A response from another target at the address states nothing about the expected one

Callers of a target that states no limit could be refused: after a target has ended, its address may belong to another one, which answers 421 and may state a limit, or that it is leaving. Both were applied to the target that the request was meant for.

Cause: the statements of every response that names the request were applied, also of misdirected ones.

limit_in_misdirected_response_is_not_applied_to_expected_target: 10 of 10 reads were refused before (one run); passes after, with the three other tests of the file (one run).

--- a/src/proxy/egress.rs
+++ b/src/proxy/egress.rs
@@ -444,7 +444,9 @@
         record_result(&core, &attempt, &permit, result);
         return broken_response(Code::AnswerLost);
     }
-    apply_statements(&core, &attempt.target, response.headers(), sent);
+    if !is_misdirected(&core.header_names, response.status()) {
+        apply_statements(&core, &attempt.target, response.headers(), sent);
+    }
     if refused {
         log_failure(
             &attempt,
@@ -526,13 +528,15 @@
     spdlog::warn!("target {}", failure, kv: { request, target, took_ms, detail });
 }
 
-/// Returns whether the response states that the target did not run the request. A target that now has the
-/// address of the expected one states this by status 421 (Misdirected Request).
+/// Returns whether a response with this status comes from a target that now has the address of the expected one.
+fn is_misdirected(header_names: &HeaderNames, status: StatusCode) -> bool {
+    header_names.expected_target.is_some() && status == StatusCode::MISDIRECTED_REQUEST
+}
+
+/// Returns whether the response states that the target did not run the request.
 fn refused_by_target(header_names: &HeaderNames, response: &Response<Incoming>) -> bool {
     let status = response.status();
-    let misdirected =
-        header_names.expected_target.is_some() && status == StatusCode::MISDIRECTED_REQUEST;
-    misdirected
+    is_misdirected(header_names, status)
         || (response.headers().contains_key(&header_names.refusal)
             && (status.is_server_error() || status.is_client_error()))
 }
