Changes fetched from a node with a slow link take half of the bytes and precedence over reads

A fetch may take 2 s, a node stops asking a holder at the first segment that it doesn't get, and does not begin a read of its own in the first 0.7 s of a fetch. The object store of the fleet's own form has time limits of the same kind as the feed: a chunk holds all routes there.

--- a/src/config/segment.rs
+++ b/src/config/segment.rs
@@ -10,13 +10,14 @@
 use crate::config::{Digest, digest_of};
 
 /// Smallest size of a segment in bytes, except for the last one.
-const MIN_SIZE: usize = 1 << 10;
+const MIN_SIZE: usize = 512;
 
 /// Largest size of a segment in bytes.
-const MAX_SIZE: usize = 32 << 10;
+const MAX_SIZE: usize = 8 << 10;
 
-/// A segment ends where these bits of the rolling hash are zero: on average 4 KB after [`MIN_SIZE`].
-const END_MASK: u64 = 0xfff << 52;
+/// A segment ends where these bits of the rolling hash are zero: in random content, on average 2 KB after
+/// [`MIN_SIZE`]. Shorter segments would make the list longer than the segments that a change alters.
+const END_MASK: u64 = 0x7ff << 53;
 
 /// Length of a digest in a list, in bytes.
 const DIGEST_BYTES: usize = 32;
--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -25,8 +25,9 @@
 /// The shortest time between two reads of the head by one node.
 const MIN_POLL_INTERVAL: Duration = Duration::from_millis(1_000);
 
-/// Timeout for fetching one chunk from a peer.
-const FETCH_TIMEOUT: Duration = Duration::from_secs(1);
+/// Timeout for fetching one chunk from a peer. Many nodes may fetch from one with a slow link at once; a peer that
+/// doesn't respond at all is noticed earlier by the pings on the link.
+const FETCH_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Number of peers that are asked for a chunk before the object store is.
 const FETCH_PEERS: usize = 3;
--- a/src/node/feed_reader.rs
+++ b/src/node/feed_reader.rs
@@ -33,6 +33,9 @@
 /// Jitter added to that age, so that nodes that lose their delegate do not all read at once.
 const FALLBACK_READ_JITTER: Duration = Duration::from_millis(300);
 
+/// How long a node that fetches a change from another one doesn't read the feed itself.
+const FETCH_PRECEDENCE: Duration = Duration::from_millis(700);
+
 /// Shortest wait before the age of the newest read is checked again.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -63,14 +66,15 @@
         if !wait.is_zero() {
             // Whether notified or timed out, the age is checked again.
             let _ = timeout(wait.max(CHECK_INTERVAL), core.read_now.notified()).await;
-            if !core.shared().read_requested && !time_until_read(&core, core.clock.now()).is_zero()
+            if !core.shared().feed.read_requested
+                && !time_until_read(&core, core.clock.now()).is_zero()
             {
                 continue;
             }
         }
-        core.shared().read_requested = false;
+        core.shared().feed.read_requested = false;
         let succeeded = read_once(&core, &feed, &mut position).await;
-        core.shared().feed_failing = !succeeded;
+        core.shared().feed.failing = !succeeded;
         if succeeded {
             if failures > 0 {
                 spdlog::info!("feed can be read again", kv: { failures });
@@ -93,6 +97,11 @@
     };
     let own = Some(&*core.address);
     let read_age = if shared.delegate(&core.settings.data_centre).as_deref() != own {
+        // A read of a large configuration would take the link from the fetch, which is done sooner.
+        let started = shared.feed.fetch_started;
+        if started.is_some_and(|at| now < at + FETCH_PRECEDENCE) {
+            return CHECK_INTERVAL;
+        }
         FALLBACK_READ_AGE + FALLBACK_READ_JITTER.mul_f64(rng().random_range(0.0..1.0))
     } else if shared.primary_delegate().as_deref() == own {
         PRIMARY_READ_AGE
--- a/src/node/generation_fetch.rs
+++ b/src/node/generation_fetch.rs
@@ -14,9 +14,9 @@
     node::{Core, NewerGeneration, configuration::fetch_from, feed_reader::install_fetched},
 };
 
-/// Most segments that are fetched from the announcing node while the feed can be read, some 120 KB. Nodes that need
+/// Most segments that are fetched from the announcing node while the feed can be read, some 100 KB. Nodes that need
 /// more read the feed, so that a node with a slow link doesn't have to send a large configuration to many others.
-const MAX_PEER_SEGMENTS: usize = 24;
+const MAX_PEER_SEGMENTS: usize = 32;
 
 /// Number of segments that are fetched at once.
 const FETCH_CONCURRENCY: usize = 8;
@@ -91,15 +91,9 @@
         if many && self.request_read(core) {
             return None;
         }
-        let fetches = missing.into_iter().map(|digest| async move {
-            let segment = fetch_from(core, holder, digest).await?;
-            Some((digest, segment))
-        });
-        let fetched: Vec<_> = stream::iter(fetches)
-            .buffer_unordered(FETCH_CONCURRENCY)
-            .collect()
-            .await;
-        self.fetched.extend(fetched.into_iter().flatten());
+        core.shared().feed.fetch_started = Some(core.clock.now());
+        self.fetch_segments(core, holder, missing).await;
+        core.shared().feed.fetch_started = None;
         let find = |digest: &Digest| self.fetched.get(digest).or(held.get(digest)).cloned();
         let complete = (!self.list.is_empty())
             .then(|| Segments::join(&self.list, find))
@@ -112,15 +106,28 @@
         complete
     }
 
+    /// Fetches segments from a node until one can't be fetched there: the node may have ended, or hold a newer
+    /// generation by now.
+    async fn fetch_segments(&mut self, core: &Core, holder: &str, missing: HashSet<Digest>) {
+        let fetches = missing.into_iter().map(|digest| async move {
+            let segment = fetch_from(core, holder, digest).await;
+            segment.map(|segment| (digest, segment))
+        });
+        let mut results = stream::iter(fetches).buffer_unordered(FETCH_CONCURRENCY);
+        while let Some(Some((digest, segment))) = results.next().await {
+            self.fetched.insert(digest, segment);
+        }
+    }
+
     /// Requests a read of the feed once for this generation. Returns false if the feed can't be read.
     fn request_read(&mut self, core: &Core) -> bool {
         let mut shared = core.shared();
-        if shared.feed_failing {
+        if shared.feed.failing {
             return false;
         }
         if !self.read_requested {
             self.read_requested = true;
-            shared.read_requested = true;
+            shared.feed.read_requested = true;
             core.read_now.notify_one();
         }
         true
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -77,16 +77,25 @@
     pub drained: Vec<String>,
     /// The store's revision at which `drained` was read.
     pub drains_revision: u64,
-    /// Whether the feed has to be read at once.
-    read_requested: bool,
-    /// Whether the last read of the feed failed.
-    feed_failing: bool,
+    /// What this node's reads of the feed found.
+    feed: FeedStatus,
     /// Chunks of the held configuration, which other nodes may fetch.
     chunks: HashMap<Digest, Bytes>,
     /// Loads of targets, which successive views share.
     loads: HashMap<Arc<str>, Arc<Load>>,
 }
 
+/// What a node's reads of the feed found, and whether it should read again.
+#[derive(Debug, Default)]
+struct FeedStatus {
+    /// Whether the feed has to be read at once.
+    read_requested: bool,
+    /// Whether the last read failed.
+    failing: bool,
+    /// Since when a change is being fetched from another node.
+    fetch_started: Option<Instant>,
+}
+
 /// A generation of the configuration that has been announced to this node.
 #[derive(Debug, Clone, PartialEq)]
 pub struct NewerGeneration {
@@ -188,8 +197,7 @@
             seeds: Vec::new(),
             drained: Vec::new(),
             drains_revision: 0,
-            read_requested: false,
-            feed_failing: false,
+            feed: FeedStatus::default(),
             chunks: HashMap::new(),
             loads: HashMap::new(),
         };
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -13,8 +13,11 @@
     platform::{Platform, PlatformError, check_status, malformed},
 };
 
-/// How long one call may take.
-const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time limits of one call. The chunk with all routes may take long over a slow link.
+const CALL_LIMITS: TimeLimits = TimeLimits {
+    step: Duration::from_secs(2),
+    total: Duration::from_secs(10),
+};
 
 /// The content type of all bodies; objects have it too, because the platform does not inspect them.
 const CONTENT_TYPE: &str = "application/json";
@@ -83,7 +86,7 @@
 /// Creates a [`Platform`] that calls the platform at an address.
 #[must_use]
 pub fn http_platform(address: &str) -> Platform {
-    let client = HttpClient::new(address, TimeLimits::whole(CALL_TIMEOUT));
+    let client = HttpClient::new(address, CALL_LIMITS);
     let (read, scan, commit) = (client.clone(), client.clone(), client.clone());
     let (get, put) = (client.clone(), client);
     Platform {
