A configuration that can't be decoded no longer delays an evacuation

While the operators' configuration can't be decoded, an evacuation that they request at the same time did not apply: requests still reached the targets of the zone 5 s later.

Cause: one read brings both, and its drained data centres were applied only after its configuration was decoded.

undecodable_configuration_is_not_read_without_pause_and_delays_no_evacuation: 200 instead of 503 before (one run); passes after (one run).

--- a/src/node/feed_reader.rs
+++ b/src/node/feed_reader.rs
@@ -120,6 +120,8 @@
         Ok(Err(error)) => return log_failure(core, sent, &error.to_string()),
         Err(_) => return log_failure(core, sent, "no answer in time"),
     };
+    // Content that can't be decoded must not delay a drain.
+    core.shared().apply_drains(core, &reading);
     let generation = match &reading.content {
         None => position.generation,
         Some(Content::Empty) => 0,
@@ -134,9 +136,9 @@
         generation,
     };
     let now = core.clock.now();
-    let mut shared = core.shared();
-    shared.apply_drains(core, &reading);
-    shared.freshness.record_own_read(sent, generation, now);
+    core.shared()
+        .freshness
+        .record_own_read(sent, generation, now);
     true
 }
 
