Requests that wait at a target are cancelled when it begins to state a limit

Callers waited for a target that could no longer start their requests in time: a new request was refused at once if the limit made it wait too long, but those that waited already when the limit began stayed until their time was over.

They now look for another target at once, and wait here again only if the limit lets them start in time. The same applies if a limit falls below half; smaller changes would make requests change places without need.

--- a/src/proxy/admission.rs
+++ b/src/proxy/admission.rs
@@ -244,6 +244,9 @@
 
     /// Applies what a response states about the rate of requests that its target takes. `sent` is when its
     /// request was sent. Returns whether this changes the limit.
+    ///
+    /// Requests that wait when a limit begins, or falls below half, are cancelled: they look for another target, and
+    /// wait here again only if the new limit lets them start in time.
     pub fn apply_stated_rate(
         &self,
         target: &str,
@@ -252,8 +255,17 @@
         now: Instant,
     ) -> bool {
         let mut targets = self.lock();
-        let target = targets.get_mut(target);
-        target.is_some_and(|t| t.apply_stated_rate(stated, sent, now))
+        let Some(target) = targets.get_mut(target) else {
+            return false;
+        };
+        let before = target.stated_rate();
+        let changed = target.apply_stated_rate(stated, sent, now);
+        let waiters = match target.stated_rate() < before / 2.0 {
+            true => target.take_waiters(now),
+            false => Vec::new(),
+        };
+        cancel_waiters(targets, waiters);
+        changed
     }
 
     /// Waits for a permit to run a request.
--- a/src/proxy/target_state.rs
+++ b/src/proxy/target_state.rs
@@ -239,6 +239,13 @@
         stated.map_or(Duration::ZERO, |s| s.time_to_start(ahead, now))
     }
 
+    /// Returns the stated limit in requests a second, or infinity without one.
+    pub(super) fn stated_rate(&self) -> f64 {
+        self.stated
+            .as_ref()
+            .map_or(f64::INFINITY, StatedLimit::rate)
+    }
+
     /// Applies the rate that a response states, whose request was sent at `sent`. Returns whether this
     /// changes the limit.
     pub(super) fn apply_stated_rate(
--- a/tests/stated_limit.rs
+++ b/tests/stated_limit.rs
@@ -177,6 +177,33 @@
     }
 }
 
+/// Otherwise they would wait for a target that can no longer start them in time.
+#[tokio::test]
+async fn waiting_requests_are_cancelled_when_limit_falls_below_half() {
+    let (clock, admission) = admission();
+    let now = clock.now();
+    admission.apply_stated_rate(TARGET, StatedRate::Limited(2.0), now, now);
+    let waiting: Vec<_> = (0..4)
+        .map(|_| {
+            let admission = Arc::clone(&admission);
+            tokio::spawn(async move { admission.admit(&request(now + ms(5_000)), now).await.err() })
+        })
+        .collect();
+    tokio::task::yield_now().await;
+    for rate in [3.0, 1.9] {
+        admission.apply_stated_rate(TARGET, StatedRate::Limited(rate), now, now);
+        assert_eq!(admission.total_load(), 4, "a limit of {rate}");
+    }
+    admission.apply_stated_rate(TARGET, StatedRate::Limited(0.5), now, now);
+    for task in waiting {
+        let code = tokio::time::timeout(ms(1_000), task).await;
+        assert_eq!(
+            code.expect("a request still waits").unwrap(),
+            Some(Code::Busy)
+        );
+    }
+}
+
 /// Ingress nodes choose by slots and load: a limited target runs few requests and would appear idle.
 #[tokio::test]
 async fn limited_target_is_reported_as_full_and_with_fewer_slots() {
