--- a/tests/stated_limit.rs
+++ b/tests/stated_limit.rs
@@ -16,6 +16,10 @@
     proxy::{Admission, AdmissionRequest, Announcement, Code, Permit},
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
+use tokio::{
+    task::{JoinHandle, yield_now},
+    time::timeout,
+};
 
 const TARGET: &str = "orders-1";
 
@@ -73,6 +77,17 @@
     admission.admit(&request, now).await
 }
 
+/// Starts four requests that wait at the target for up to five seconds.
+async fn start_waiting(admission: &Arc<Admission>, now: Instant) -> Vec<JoinHandle<Option<Code>>> {
+    let start = |_| {
+        let admission = Arc::clone(admission);
+        tokio::spawn(async move { admission.admit(&request(now + ms(5_000)), now).await.err() })
+    };
+    let waiting = (0..4).map(start).collect();
+    yield_now().await;
+    waiting
+}
+
 #[test]
 fn limited_starts_stay_within_bound_in_every_window_of_4_s() {
     for seed in 0..200 {
@@ -157,13 +172,7 @@
     let (clock, admission) = admission();
     let now = clock.now();
     admission.apply_stated_rate(TARGET, StatedRate::Limited(2.0), now, now);
-    let waiting: Vec<_> = (0..4)
-        .map(|_| {
-            let admission = Arc::clone(&admission);
-            tokio::spawn(async move { admission.admit(&request(now + ms(5_000)), now).await.err() })
-        })
-        .collect();
-    tokio::task::yield_now().await;
+    let waiting = start_waiting(&admission, now).await;
     assert_eq!(admission.limited_wait(TARGET, RANK), ms(2_500));
     let refused = admission.admit(&request(now + ms(2_000)), now).await;
     assert_eq!(refused.err(), Some(Code::Overloaded));
@@ -183,20 +192,14 @@
     let (clock, admission) = admission();
     let now = clock.now();
     admission.apply_stated_rate(TARGET, StatedRate::Limited(2.0), now, now);
-    let waiting: Vec<_> = (0..4)
-        .map(|_| {
-            let admission = Arc::clone(&admission);
-            tokio::spawn(async move { admission.admit(&request(now + ms(5_000)), now).await.err() })
-        })
-        .collect();
-    tokio::task::yield_now().await;
+    let waiting = start_waiting(&admission, now).await;
     for rate in [3.0, 1.9] {
         admission.apply_stated_rate(TARGET, StatedRate::Limited(rate), now, now);
         assert_eq!(admission.total_load(), 4, "a limit of {rate}");
     }
     admission.apply_stated_rate(TARGET, StatedRate::Limited(0.5), now, now);
     for task in waiting {
-        let code = tokio::time::timeout(ms(1_000), task).await;
+        let code = timeout(ms(1_000), task).await;
         assert_eq!(
             code.expect("a request still waits").unwrap(),
             Some(Code::Busy)
