Pace and stated limits share one bucket of tokens

The stated limit of a target repeated the refill, the availability, the wait and the spending of the pace of a cold target. Tokens holds them once (policy/tokens.rs); rates and bursts stay with their owners. No behaviour changes: the tests of both pass unchanged. policy/share.rs is left, since transfers may fill it beyond its burst.

--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -16,3 +16,4 @@
 pub mod shutdown;
 pub mod stated_limit;
 pub mod suspicion;
+mod tokens;
--- a/src/policy/pace.rs
+++ b/src/policy/pace.rs
@@ -3,6 +3,8 @@
 
 use std::time::{Duration, Instant};
 
+use crate::policy::tokens::Tokens;
+
 /// Requests that may start at once at a cold target.
 const COLD_BURST: f64 = 4.0;
 
@@ -17,8 +19,7 @@
 /// A token bucket of the requests that may start at one target.
 #[derive(Debug, Clone)]
 pub struct Pace {
-    tokens: f64,
-    updated: Instant,
+    tokens: Tokens,
 }
 
 impl Pace {
@@ -26,19 +27,18 @@
     #[must_use]
     pub fn new(now: Instant) -> Self {
         Self {
-            tokens: COLD_BURST,
-            updated: now,
+            tokens: Tokens::new(COLD_BURST, now),
         }
     }
 
-    fn refill(&mut self, rate: f64, cold: bool, now: Instant) {
+    /// Refills the tokens, and returns the rate at which they arrive.
+    fn refill(&mut self, rate: f64, cold: bool, now: Instant) -> f64 {
         let (rate, burst) = match cold {
             true => (rate, COLD_BURST),
             false => (rate * WARM_FACTOR, WARM_BURST),
         };
-        let passed = now.saturating_duration_since(self.updated).as_secs_f64();
-        self.updated = self.updated.max(now);
-        self.tokens = (self.tokens + passed * rate).min(burst);
+        self.tokens.refill(rate, burst, now);
+        rate
     }
 
     /// Returns whether a request may start now. `rate` is the number of requests a second that a cold
@@ -48,20 +48,20 @@
             return true;
         }
         self.refill(rate, cold, now);
-        self.tokens >= 1.0
+        self.tokens.is_available()
     }
 
     /// Returns the time until a request may start.
     pub fn time_to_start(&mut self, rate: f64, cold: bool, now: Instant) -> Duration {
-        if self.may_start(rate, cold, now) {
+        if rate <= 0.0 {
             return Duration::ZERO;
         }
-        let refill_rate = if cold { rate } else { rate * WARM_FACTOR };
-        Duration::from_secs_f64((1.0 - self.tokens) / refill_rate)
+        let rate = self.refill(rate, cold, now);
+        self.tokens.time_until(1.0, rate)
     }
 
     /// Records that a request starts.
     pub fn record_start(&mut self) {
-        self.tokens -= 1.0;
+        self.tokens.spend();
     }
 }
--- a/src/policy/stated_limit.rs
+++ b/src/policy/stated_limit.rs
@@ -2,6 +2,8 @@
 
 use std::time::{Duration, Instant};
 
+use crate::policy::tokens::Tokens;
+
 /// Lowest rate, in requests a second, at which requests start whatever the target states: only its responses
 /// show that the limit has ended.
 const MIN_RATE: f64 = 0.25;
@@ -38,8 +40,7 @@
 #[derive(Debug, Clone)]
 pub struct StatedLimit {
     rate: f64,
-    tokens: f64,
-    updated: Instant,
+    tokens: Tokens,
     /// When the target last stated it.
     stated: Instant,
 }
@@ -51,8 +52,7 @@
     pub fn new(rate: f64, now: Instant) -> Self {
         Self {
             rate: rate.max(MIN_RATE),
-            tokens: 0.0,
-            updated: now,
+            tokens: Tokens::new(0.0, now),
             stated: now,
         }
     }
@@ -61,7 +61,8 @@
     pub fn restate(&mut self, rate: f64, now: Instant) {
         self.refill(now);
         self.rate = rate.max(MIN_RATE);
-        self.tokens = self.tokens.min(self.burst());
+        // Without time passing, this only applies the new burst.
+        self.refill(now);
         self.stated = now;
     }
 
@@ -83,27 +84,25 @@
     }
 
     fn refill(&mut self, now: Instant) {
-        let passed = now.saturating_duration_since(self.updated).as_secs_f64();
-        self.updated = self.updated.max(now);
-        self.tokens = (self.tokens + passed * self.rate).min(self.burst());
+        self.tokens.refill(self.rate, self.burst(), now);
     }
 
     /// Returns the time until a request may start that `ahead` others precede.
     pub fn time_to_start(&mut self, ahead: usize, now: Instant) -> Duration {
         self.refill(now);
         #[expect(clippy::cast_precision_loss, reason = "queues are short")]
-        let missing = ahead as f64 + 1.0 - self.tokens;
-        Duration::from_secs_f64(missing.max(0.0) / self.rate)
+        let wanted = ahead as f64 + 1.0;
+        self.tokens.time_until(wanted, self.rate)
     }
 
     /// Returns whether a request may start now.
     pub fn may_start(&mut self, now: Instant) -> bool {
         self.refill(now);
-        self.tokens >= 1.0
+        self.tokens.is_available()
     }
 
     /// Records that a request starts.
     pub fn record_start(&mut self) {
-        self.tokens -= 1.0;
+        self.tokens.spend();
     }
 }
--- /dev/null
+++ b/src/policy/tokens.rs
@@ -0,0 +1,45 @@
+//! Tokens that refill over time up to a limit; each start of a request spends one.
+
+use std::time::{Duration, Instant};
+
+/// The tokens of one bucket.
+#[derive(Debug, Clone)]
+pub struct Tokens {
+    count: f64,
+    updated: Instant,
+}
+
+impl Tokens {
+    /// Creates a bucket that holds `count` tokens.
+    #[must_use]
+    pub fn new(count: f64, now: Instant) -> Self {
+        Self {
+            count,
+            updated: now,
+        }
+    }
+
+    /// Adds the tokens that have arrived at `rate`, in tokens a second, up to `burst` in all.
+    pub fn refill(&mut self, rate: f64, burst: f64, now: Instant) {
+        let passed = now.saturating_duration_since(self.updated).as_secs_f64();
+        self.updated = self.updated.max(now);
+        self.count = (self.count + passed * rate).min(burst);
+    }
+
+    /// Returns whether there is a whole token.
+    #[must_use]
+    pub fn is_available(&self) -> bool {
+        self.count >= 1.0
+    }
+
+    /// Returns the time until there are `wanted` tokens at `rate`, in tokens a second.
+    #[must_use]
+    pub fn time_until(&self, wanted: f64, rate: f64) -> Duration {
+        Duration::from_secs_f64((wanted - self.count).max(0.0) / rate)
+    }
+
+    /// Spends a token.
+    pub fn spend(&mut self) {
+        self.count -= 1.0;
+    }
+}
