Proofs of warmth replace the permanent pace of warm targets

Cause: starts at a warm target were paced for ever at 1.15 times the rate of a cold one, since it may turn cold without notice, so targets stood idle behind full queues. Now starts since the newest proof of warmth are bounded as if the target were cold: an answer within 1.5 times the usual latency, on a connection that is older than a cold start lasts, proves that the target was warm when its request was sent. While proofs arrive, only the slots limit a target.

Ruled out: a larger constant (4 times the rate exceeds the bound after a restart).

Admission::extend_cold, which had no caller, is removed.

--- a/examples/slopes.rs
+++ b/examples/slopes.rs
@@ -287,6 +287,8 @@
             connections: 300,
             queue: 64,
             cold_rate: 0.0,
+            cold_burst: 0.0,
+            cold_ms: 0,
         };
         document.services.insert(name, service);
     }
--- a/src/config/document.rs
+++ b/src/config/document.rs
@@ -4,6 +4,8 @@
 
 use sha2::{Digest as _, Sha256};
 
+use crate::policy::pace::ColdStart;
+
 value! {
     /// Which callers may use a route.
     #[derive(serde::Serialize, serde::Deserialize)]
@@ -59,6 +61,12 @@
         /// Requests a second that a target can handle during a cold start; 0 for no known limit.
         #[serde(default)]
         pub cold_rate: f64,
+        /// Requests beyond `cold_rate` that may arrive at a cold target within one second.
+        #[serde(default)]
+        pub cold_burst: f64,
+        /// How long a target is cold after its start, in milliseconds.
+        #[serde(default)]
+        pub cold_ms: u32,
     }
 
     /// The share of a route's requests that goes to one service.
@@ -171,6 +179,16 @@
     pub fn timeout(&self) -> Duration {
         Duration::from_millis(u64::from(self.timeout_ms))
     }
+
+    /// Returns what a target can take during a cold start.
+    #[must_use]
+    pub fn cold_start(&self) -> ColdStart {
+        ColdStart {
+            rate: self.cold_rate,
+            burst: self.cold_burst,
+            duration: Duration::from_millis(u64::from(self.cold_ms)),
+        }
+    }
 }
 
 impl Document {
--- a/src/config/file.rs
+++ b/src/config/file.rs
@@ -21,6 +21,8 @@
 const DEFAULT_RETRY_SHARE: f64 = 0.1;
 const DEFAULT_CONNECTIONS: u32 = 300;
 const DEFAULT_QUEUE: u32 = 64;
+const DEFAULT_COLD_BURST: f64 = 5.0;
+const DEFAULT_COLD_MS: u32 = 10_000;
 const MAX_ATTEMPTS: u32 = 16;
 const MAX_VALUE: u32 = 1_000_000;
 
@@ -174,6 +176,8 @@
         connections: fields.integer("connections", 1..=MAX_VALUE, DEFAULT_CONNECTIONS),
         queue: fields.integer("queue", 0..=MAX_VALUE, DEFAULT_QUEUE),
         cold_rate: fields.number("cold_rate", 0.0..=f64::from(MAX_VALUE), 0.0),
+        cold_burst: fields.number("cold_burst", 0.0..=f64::from(MAX_VALUE), DEFAULT_COLD_BURST),
+        cold_ms: fields.integer("cold_ms", 0..=MAX_TIMEOUT_MS, DEFAULT_COLD_MS),
     }
 }
 
--- a/src/node/periodic_tasks.rs
+++ b/src/node/periodic_tasks.rs
@@ -86,7 +86,7 @@
         let view = core.view.load_full();
         core.admission.configure(|name| {
             let service = view.index.service(name)?;
-            Some((service.connections as usize, service.cold_rate))
+            Some((service.connections as usize, service.cold_start()))
         });
         let others = |service: &str, target: &str| other_targets(&core, service, target);
         for target in core.admission.eject_overdue(others, now) {
--- a/src/policy/suspicion.rs
+++ b/src/policy/suspicion.rs
@@ -106,7 +106,9 @@
 }
 
 impl Suspicion {
-    fn expected_latency(&self, class: LatencyClass) -> Duration {
+    /// Returns the moving average of a class's latency, or an assumption while it is unknown.
+    #[must_use]
+    pub fn expected_latency(&self, class: LatencyClass) -> Duration {
         #[expect(clippy::cast_precision_loss, reason = "objectives are short")]
         let assumed = class.objective as f64 / 1e3 * INITIAL_SHARE;
         let seconds = self.latencies.get(&class).copied().unwrap_or(assumed);
--- a/src/proxy/admission.rs
+++ b/src/proxy/admission.rs
@@ -14,7 +14,13 @@
 use crate::{
     clock::SharedClock,
     fleet::codec::TargetRecord,
-    policy::{eject::OtherTargets, limit::ExchangeResult, queue::Rank, stated_limit::StatedRate},
+    policy::{
+        eject::OtherTargets,
+        limit::ExchangeResult,
+        pace::{Answer, ColdStart},
+        queue::Rank,
+        stated_limit::StatedRate,
+    },
     proxy::{
         Code,
         exchange::ConnectionPool,
@@ -138,13 +144,6 @@
         cancel_waiters(targets, waiters);
     }
 
-    /// Extends the cold start of a target to last at least `remaining` from now.
-    pub fn extend_cold(&self, target: &str, remaining: Duration, now: Instant) {
-        if let Some(target) = self.lock().get_mut(target) {
-            target.extend_cold(remaining, now);
-        }
-    }
-
     /// Removes targets whose lease has expired and that run no requests; targets that were leaving are
     /// retained for longer.
     ///
@@ -181,13 +180,13 @@
         records
     }
 
-    /// Applies the connection limits and cold rates that services are configured with, which
+    /// Applies the connection limits and cold starts that services are configured with, which
     /// `service_limits` returns by service name. Until they are known, a target that has not received any
     /// requests would be treated as cold, and so would hardly receive any.
-    pub fn configure(&self, service_limits: impl Fn(&str) -> Option<(usize, f64)>) {
+    pub fn configure(&self, service_limits: impl Fn(&str) -> Option<(usize, ColdStart)>) {
         for target in self.lock().values_mut() {
-            if let Some((connections, cold_rate)) = service_limits(&target.announcement.service) {
-                target.configure(connections, cold_rate);
+            if let Some((connections, cold_start)) = service_limits(&target.announcement.service) {
+                target.configure(connections, cold_start);
             }
         }
     }
@@ -323,9 +322,9 @@
         if request.avoid_suspected && !request.floor && target.is_suspected(now) {
             return Err(Code::Doubtful);
         }
-        target.configure(request.connections, request.cold_rate);
+        target.configure(request.connections, request.cold_start);
         if target.queue.is_empty() && target.has_capacity() && target.is_start_due(now) {
-            target.start_request();
+            target.start_request(now);
             return Ok(Placement::Admitted(self.permit(target)));
         }
         if request.deadline <= now {
@@ -387,7 +386,7 @@
                 discarded.push(waiter);
                 continue;
             }
-            target.start_request();
+            target.start_request(now);
             admitted.push((waiter.sender, self.permit(target)));
         }
         let paced = target.has_capacity() && !target.is_start_due(now);
@@ -409,6 +408,18 @@
         }
     }
 
+    /// Records an answer to a permit's request, which may prove that the target is warm, so that more requests
+    /// may start.
+    pub fn record_answer(self: &Arc<Self>, permit: &Permit, answer: &Answer) {
+        let proven = self
+            .lock()
+            .get_mut(&permit.target)
+            .is_some_and(|target| target.record_answer(permit.ticket, answer));
+        if proven {
+            self.admit_waiting(&permit.target);
+        }
+    }
+
     /// Records the result of a permit's exchange, and returns whether it ejects the target.
     pub fn record_result(
         &self,
@@ -478,8 +489,8 @@
     pub queue_limit: usize,
     /// Maximum number of connections that the target accepts.
     pub connections: usize,
-    /// Requests a second that a cold target can take; 0 if its service configures none.
-    pub cold_rate: f64,
+    /// What the target can take during a cold start.
+    pub cold_start: ColdStart,
     /// Whether the request is refused if the target is suspected to be failing, unless `floor` is set.
     pub avoid_suspected: bool,
     /// Whether the floor of its service keeps the target in use although it is failing.
--- a/src/proxy/egress.rs
+++ b/src/proxy/egress.rs
@@ -22,6 +22,7 @@
         attempt::{AttemptId, Ledger, Refusal, Resolution},
         eject::OtherTargets,
         limit::ExchangeResult,
+        pace::{Answer, ColdStart},
         suspicion::LatencyClass,
     },
     proxy::{
@@ -29,7 +30,7 @@
         admission::{AdmissionRequest, Permit},
         attempt::{ATTEMPT_HEADER, Attempt},
         error_response::error_response,
-        exchange::{Exchange, Sender},
+        exchange::{Connection, Exchange},
         statements::apply_statements,
         target_state::FailureTest,
         tracked_body::{BodyEnd, TrackedBody},
@@ -163,7 +164,7 @@
         }
         let permit = admit(core, &attempt, organisation.as_deref(), deadline, arrived).await?;
         let reuse = attempt.idempotent;
-        let exchange = Exchange::open(&permit.address, &permit.pool, reuse, core.clock.now())
+        let exchange = Exchange::open(&permit.address, &permit.pool, reuse, &*core.clock)
             .await
             .map_err(|error| {
                 let request = attempt.request_id.as_str();
@@ -276,7 +277,7 @@
         deadline: deadline.min(now + attempt.wait),
         queue_limit: queue_limit as usize,
         connections: connections as usize,
-        cold_rate: service.map_or(0.0, |s| s.cold_rate),
+        cold_start: service.map_or_else(ColdStart::default, |s| s.cold_start()),
         // Suspected targets are avoided by requests that can't be repeated, by repeats, and by calls that
         // another request waits for.
         avoid_suspected: !attempt.idempotent || attempt.repeat || !attempt.rank.external,
@@ -402,7 +403,7 @@
     let reused = exchange.reused;
     let response = timeout(left, exchange.send(request)).await;
     let latency = core.clock.now().saturating_duration_since(sent);
-    let (response, sender) = match response {
+    let (response, connection) = match response {
         Ok(Ok(received)) => received,
         Ok(Err(error)) => {
             let error = error.to_string();
@@ -446,6 +447,12 @@
     }
     if !is_misdirected(&core.header_names, response.status()) {
         apply_statements(&core, &attempt.target, response.headers(), sent);
+        let answer = Answer {
+            opened: connection.opened,
+            sent,
+            latency,
+        };
+        core.admission.record_answer(&permit, &answer);
     }
     if refused {
         log_failure(
@@ -460,7 +467,7 @@
             Verdict::Refused,
         );
     }
-    relay_response(ledger_entry, attempt, permit, latency, response, sender)
+    relay_response(ledger_entry, attempt, permit, latency, response, connection)
 }
 
 /// Returns the target's response with its verdict. When the body ends, the result of the exchange is
@@ -471,7 +478,7 @@
     permit: Permit,
     latency: Duration,
     response: Response<Incoming>,
-    sender: Sender,
+    connection: Connection,
 ) -> Response<Body> {
     let result = match response.status() {
         StatusCode::SERVICE_UNAVAILABLE => ExchangeResult::Shed,
@@ -493,7 +500,7 @@
         match end {
             BodyEnd::Complete => {
                 if reusable {
-                    pool.put(sender, core.clock.now());
+                    pool.put(connection, core.clock.now());
                 }
                 record_result(core, &attempt, &permit, result);
             }
--- a/src/proxy/exchange.rs
+++ b/src/proxy/exchange.rs
@@ -15,7 +15,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpStream, time::timeout};
 
-use crate::fleet::Body;
+use crate::{clock::Clock, fleet::Body};
 
 /// Timeout for opening a connection to a target.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -26,37 +26,42 @@
 /// Maximum number of idle connections to one target.
 const MAX_IDLE_CONNECTIONS: usize = 16;
 
-/// The sending half of a connection to a target.
-pub type Sender = http1::SendRequest<Body>;
+/// A connection to a target.
+pub struct Connection {
+    sender: http1::SendRequest<Body>,
+    /// When it was opened.
+    pub opened: Instant,
+}
 
 /// Idle connections to one target.
 #[derive(Default)]
 pub struct ConnectionPool {
-    idle: Mutex<Vec<(Sender, Instant)>>,
+    /// The connections, and since when each is idle.
+    idle: Mutex<Vec<(Connection, Instant)>>,
 }
 
 impl ConnectionPool {
-    fn take(&self, now: Instant) -> Option<Sender> {
+    fn take(&self, now: Instant) -> Option<Connection> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        idle.retain(|(sender, idle_since)| {
-            now < *idle_since + MAX_IDLE_TIME && !sender.is_closed()
+        idle.retain(|(connection, idle_since)| {
+            now < *idle_since + MAX_IDLE_TIME && !connection.sender.is_closed()
         });
-        idle.pop().map(|(sender, _)| sender)
+        idle.pop().map(|(connection, _)| connection)
     }
 
     /// Puts a connection into the pool after a complete exchange. A closed connection, and one beyond
     /// [`MAX_IDLE_CONNECTIONS`], is dropped instead.
-    pub fn put(&self, sender: Sender, now: Instant) {
+    pub fn put(&self, connection: Connection, now: Instant) {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        if idle.len() < MAX_IDLE_CONNECTIONS && !sender.is_closed() {
-            idle.push((sender, now));
+        if idle.len() < MAX_IDLE_CONNECTIONS && !connection.sender.is_closed() {
+            idle.push((connection, now));
         }
     }
 }
 
 /// A connection that is ready for one exchange.
 pub struct Exchange {
-    sender: Sender,
+    connection: Connection,
     /// Whether the connection carried another exchange before.
     pub reused: bool,
 }
@@ -70,26 +75,29 @@
         address: &str,
         pool: &Arc<ConnectionPool>,
         reuse: bool,
-        now: Instant,
+        clock: &dyn Clock,
     ) -> io::Result<Self> {
-        if reuse && let Some(sender) = pool.take(now) {
+        if reuse && let Some(connection) = pool.take(clock.now()) {
             return Ok(Self {
-                sender,
+                connection,
                 reused: true,
             });
         }
         let connect = timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
         let stream = connect.await.map_err(|_| io::ErrorKind::TimedOut)??;
         stream.set_nodelay(true)?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        let (sender, driver) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(io::Error::other)?;
         tokio::spawn(async move {
             // An error of the connection is reported to the exchange that uses it.
-            let _ = connection.await;
+            let _ = driver.await;
         });
         Ok(Self {
-            sender,
+            connection: Connection {
+                sender,
+                opened: clock.now(),
+            },
             reused: false,
         })
     }
@@ -102,8 +110,8 @@
     pub async fn send(
         mut self,
         request: Request<Body>,
-    ) -> Result<(Response<Incoming>, Sender), hyper::Error> {
-        let response = self.sender.send_request(request).await?;
-        Ok((response, self.sender))
+    ) -> Result<(Response<Incoming>, Connection), hyper::Error> {
+        let response = self.connection.sender.send_request(request).await?;
+        Ok((response, self.connection))
     }
 }
--- a/src/proxy/target_state.rs
+++ b/src/proxy/target_state.rs
@@ -14,7 +14,7 @@
     policy::{
         eject::{Detector, OtherTargets},
         limit::{ExchangeResult, Limit},
-        pace::Pace,
+        pace::{Answer, ColdStart, Pace},
         queue::{Rank, RankedQueue},
         stated_limit::{StatedLimit, StatedRate},
         suspicion::{ExchangeEnd, LatencyClass, Suspicion},
@@ -105,7 +105,7 @@
     cold_until: Instant,
     limit: Limit,
     pace: Pace,
-    cold_rate: f64,
+    cold_start: ColdStart,
     /// The limit that the target states in its responses, if any.
     stated: Option<StatedLimit>,
     /// Whether the target has responded to this node.
@@ -131,7 +131,7 @@
             // A new target starts with the cold limit, whatever it announces.
             limit: Limit::new(announcement.slots, true),
             pace: Pace::new(now),
-            cold_rate: 0.0,
+            cold_start: ColdStart::default(),
             stated: None,
             answered: false,
             detector: Detector::default(),
@@ -184,28 +184,23 @@
         now < self.lease_until + retention
     }
 
-    /// Applies the connection limit and the cold rate that the target's service is configured with.
-    pub(super) fn configure(&mut self, connections: usize, cold_rate: f64) {
+    /// Applies the connection limit and the cold start that the target's service is configured with.
+    pub(super) fn configure(&mut self, connections: usize, cold_start: ColdStart) {
         self.connections = connections.max(1);
-        self.cold_rate = cold_rate;
+        self.cold_start = cold_start;
     }
 
     fn is_cold(&self, now: Instant) -> bool {
         now < self.cold_until
     }
 
-    /// Extends the cold start to last at least `remaining` from now.
-    pub(super) fn extend_cold(&mut self, remaining: Duration, now: Instant) {
-        self.cold_until = self.cold_until.max(now + remaining);
-    }
-
     /// Returns whether the target has capacity for one more request.
     ///
     /// If the service configures a cold rate, starts are paced and only the slots limit the requests that
     /// run at once; otherwise the adaptive limit does. Each exchange uses a connection of its own, so
     /// the connection limit applies in both cases.
     pub(super) fn has_capacity(&self) -> bool {
-        let limit = match self.cold_rate > 0.0 {
+        let limit = match self.cold_start.rate > 0.0 {
             true => self.announcement.slots as usize,
             false => self.limit.allowed(),
         };
@@ -220,13 +215,13 @@
     pub(super) fn is_start_due(&mut self, now: Instant) -> bool {
         let cold = self.is_cold(now);
         let within_limit = self.stated.as_mut().is_none_or(|s| s.may_start(now));
-        within_limit && self.pace.may_start(self.cold_rate, cold, now)
+        within_limit && self.pace.may_start(&self.cold_start, cold, now)
     }
 
     /// Returns the time until the target's pace and its stated limit allow a request to start.
     pub(super) fn time_to_start(&mut self, now: Instant) -> Duration {
         let cold = self.is_cold(now);
-        let pace = self.pace.time_to_start(self.cold_rate, cold, now);
+        let pace = self.pace.time_to_start(&self.cold_start, cold, now);
         let stated = self.stated.as_mut().map(|s| s.time_to_start(0, now));
         pace.max(stated.unwrap_or_default())
     }
@@ -286,9 +281,9 @@
     }
 
     /// Records that a request was admitted.
-    pub(super) fn start_request(&mut self) {
+    pub(super) fn start_request(&mut self, now: Instant) {
         self.running += 1;
-        self.pace.record_start();
+        self.pace.record_start(now);
         if let Some(stated) = &mut self.stated {
             stated.record_start();
         }
@@ -367,6 +362,22 @@
         }
     }
 
+    /// Records the answer to an exchange, and returns whether it proves that the target is warm.
+    pub(super) fn record_answer(&mut self, ticket: u64, answer: &Answer) -> bool {
+        let Some(exchange) = self.exchanges.get(&ticket) else {
+            return false;
+        };
+        let usual = match exchange.test {
+            FailureTest::Objective(class) => self.suspicion.expected_latency(class),
+            FailureTest::Comparison | FailureTest::Off => self.limit.usual_latency(),
+        };
+        let warm = answer.sent >= self.cold_until && self.cold_start.is_warm(answer, usual);
+        if warm {
+            self.pace.record_proof(&self.cold_start, answer.sent);
+        }
+        warm
+    }
+
     /// Records the result of an exchange, and returns whether it ejects the target.
     pub(super) fn record_result(
         &mut self,
@@ -444,7 +455,7 @@
     }
 
     fn state(&mut self, now: Instant) -> TargetState {
-        let cold = match self.cold_rate > 0.0 {
+        let cold = match self.cold_start.rate > 0.0 {
             true => self.is_cold(now),
             false => self.is_cold(now) || self.limit.is_cold(),
         };
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -29,6 +29,9 @@
 
 const DEFAULT_FLOOR: f64 = 0.5;
 const DEFAULT_RETRY_SHARE: f64 = 0.1;
+const DEFAULT_COLD_OVERAGE: f64 = 1.5;
+const DEFAULT_COLD_SLACK: f64 = 5.0;
+const MAX_OVERAGE: f64 = 100.0;
 const MAX_SECONDS: f64 = 86_400.0;
 const MAX_VALUE: u32 = 1_000_000;
 
@@ -82,6 +85,10 @@
         pub retry_share: f64,
         /// Unused retries that may be saved up beyond that share, over the whole fleet.
         pub retry_slack: u32,
+        /// The requests that a cold target can take within one second, as a multiple of its cold rate.
+        pub cold_overage: f64,
+        /// Requests that a cold target can take within one second in addition.
+        pub cold_slack: f64,
     }
 }
 
@@ -124,6 +131,8 @@
     floor: f64,
     retry_share: f64,
     retry_slack: u32,
+    cold_overage: f64,
+    cold_slack: f64,
 }
 
 fn read_file_settings(fields: &mut Fields<'_>) -> FileSettings {
@@ -149,6 +158,8 @@
         floor: fields.number("floor", 0.0..=1.0, DEFAULT_FLOOR),
         retry_share: fields.number("retry_share", 0.0..=1.0, DEFAULT_RETRY_SHARE),
         retry_slack: fields.integer("retry_slack", 0..=MAX_VALUE, 0),
+        cold_overage: fields.number("cold_overage", 1.0..=MAX_OVERAGE, DEFAULT_COLD_OVERAGE),
+        cold_slack: fields.number("cold_slack", 0.0..=f64::from(MAX_VALUE), DEFAULT_COLD_SLACK),
     }
 }
 
@@ -160,6 +171,8 @@
             idle_s: DEFAULT_IDLE_S,
             floor: DEFAULT_FLOOR,
             retry_share: DEFAULT_RETRY_SHARE,
+            cold_overage: DEFAULT_COLD_OVERAGE,
+            cold_slack: DEFAULT_COLD_SLACK,
             ..FileSettings::default()
         },
         ..RawSettings::default()
@@ -298,6 +311,8 @@
             floor: file.floor,
             retry_share: file.retry_share,
             retry_slack: file.retry_slack,
+            cold_overage: file.cold_overage,
+            cold_slack: file.cold_slack,
         },
     }))
 }
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -14,7 +14,7 @@
         budget::RetryBudget,
         eject::OtherTargets,
         limit::ExchangeResult,
-        pace::Pace,
+        pace::ColdStart,
         queue::{Rank, RankedQueue},
         share::{Excess, Share, ShareSize},
         suspicion::{ExchangeEnd, LatencyClass, Suspicion},
@@ -29,6 +29,13 @@
     idempotent: false,
 };
 
+/// What a target of the users' first deployment can take during a cold start.
+const COLD_START: ColdStart = ColdStart {
+    rate: 14.0,
+    burst: 12.0,
+    duration: Duration::from_secs(3),
+};
+
 fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
 }
@@ -125,36 +132,6 @@
     assert!(!suspicion.is_excluded(now + ms(6_000)));
 }
 
-#[test]
-fn pace_limits_starts_in_any_second() {
-    for seed in 0..50 {
-        let mut rng = StdRng::seed_from_u64(seed);
-        let start = Instant::now();
-        let mut pace = Pace::new(start);
-        let rate = 14.0;
-        let mut starts: Vec<Instant> = Vec::new();
-        let mut now = start;
-        for _ in 0..4_000 {
-            now += Duration::from_micros(rng.random_range(0..20_000));
-            // The bound must hold although the target turns cold and warm at random.
-            let cold = rng.random_bool(0.5);
-            if pace.may_start(rate, cold, now) {
-                pace.record_start();
-                starts.push(now);
-            }
-        }
-        for (i, first) in starts.iter().enumerate() {
-            let within = starts[i..].iter().take_while(|s| **s < *first + ms(1_000));
-            let bound = 1.5 * rate + 5.0;
-            assert!(
-                count(within) <= bound,
-                "seed {seed}: too many starts in one second"
-            );
-        }
-        assert!(starts.len() > 400, "seed {seed}: too few requests start");
-    }
-}
-
 /// Draws tokens of a quota with three shares, where a share that is used up gets tokens of the
 /// others. `requests` holds the time in milliseconds and the share of each request; returns the
 /// times of those that were granted.
@@ -303,7 +280,7 @@
         deadline,
         queue_limit: 64,
         connections: 100,
-        cold_rate: 14.0,
+        cold_start: COLD_START,
         avoid_suspected: true,
         floor: false,
     }
@@ -520,6 +497,6 @@
 async fn target_without_requests_is_warm_if_announced_so() {
     let (clock, admission) = manual_admission();
     admission.apply_announcement(announcement(1), clock.now());
-    admission.configure(|service| (service == "orders").then_some((100, 14.0)));
+    admission.configure(|service| (service == "orders").then_some((100, COLD_START)));
     assert_eq!(admission.records(clock.now())[0].state(), TargetState::Warm);
 }
--- a/tests/stated_limit.rs
+++ b/tests/stated_limit.rs
@@ -10,6 +10,7 @@
     policy::{
         eject::OtherTargets,
         limit::ExchangeResult,
+        pace::ColdStart,
         queue::Rank,
         stated_limit::{StatedLimit, StatedRate},
     },
@@ -43,7 +44,7 @@
         deadline,
         queue_limit: 64,
         connections: 100,
-        cold_rate: 0.0,
+        cold_start: ColdStart::default(),
         avoid_suspected: false,
         floor: false,
     }
@@ -71,7 +72,11 @@
 /// Requests admission without waiting, with a pace that doesn't hold requests back.
 async fn admit(admission: &Arc<Admission>, now: Instant) -> Result<Permit, Code> {
     let request = AdmissionRequest {
-        cold_rate: 1_000.0,
+        cold_start: ColdStart {
+            rate: 1_000.0,
+            burst: 1_000.0,
+            duration: ms(3_000),
+        },
         ..request(now)
     };
     admission.admit(&request, now).await
