--- a/src/node/registration.rs
+++ b/src/node/registration.rs
@@ -1,6 +1,6 @@
 //! The rows in the platform's table through which starting nodes find the fleet.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use rand::{Rng, rng};
 use tokio::time::sleep;
@@ -67,12 +67,11 @@
             return false;
         }
     };
-    let seeds = rows.into_iter().filter_map(|(key, row)| {
-        let address = key.strip_prefix(VM_PREFIX)?.to_owned();
-        let centre = row.value;
-        Some(Seed { address, centre })
-    });
-    let seeds: Vec<Seed> = seeds.collect();
+    let centres = &core.settings.data_centres;
+    let seeds: Vec<Seed> = rows
+        .into_iter()
+        .filter_map(|(key, row)| read_seed(&key, row.value, centres))
+        .collect();
     let is_own =
         |seed: &Seed| *seed.address == *core.address && seed.centre == core.settings.data_centre;
     let listed = seeds.iter().any(is_own);
@@ -80,6 +79,19 @@
     listed
 }
 
+/// Returns the node that a row names, or `None` if another program wrote the row: one without a valid address, or
+/// in a data centre that is not among `centres`, unless these are unknown.
+fn read_seed(key: &str, centre: String, centres: &[String]) -> Option<Seed> {
+    let address = key.strip_prefix(VM_PREFIX)?;
+    let valid = address.parse::<SocketAddr>().is_ok_and(|a| a.port() > 0);
+    if valid && (centres.is_empty() || centres.contains(&centre)) {
+        let address = address.to_owned();
+        return Some(Seed { address, centre });
+    }
+    spdlog::warn!("ignoring a row that names no node", kv: { key, centre = centre.as_str() });
+    None
+}
+
 fn is_alone(core: &Core) -> bool {
     core.shared().board.vms.len() <= 1
 }
