Runs of a target are followed across connections, and a target is asked whether it is warm

Spans in which connections answered are joined while they overlap, since a target has one run at a time; and a target whose starts are nearly used up gets a probe, at most two a second, whose response states whether it is cold. The path of probes is configured by service.

Ruled out: longer idle times of connections, which targets end anyway.

--- a/examples/slopes.rs
+++ b/examples/slopes.rs
@@ -286,6 +286,7 @@
             retry_slack: 0,
             connections: 300,
             queue: 64,
+            health: "/health".to_owned(),
             cold_rate: 0.0,
             cold_burst: 0.0,
             cold_ms: 0,
--- a/src/config/document.rs
+++ b/src/config/document.rs
@@ -58,6 +58,9 @@
         pub connections: u32,
         /// Most requests that may wait for a slot at one target.
         pub queue: u32,
+        /// The path of probes, to which healthy targets respond with success.
+        #[serde(default = "default_health")]
+        pub health: String,
         /// Requests a second that a target can handle during a cold start; 0 for no known limit.
         #[serde(default)]
         pub cold_rate: f64,
@@ -173,6 +176,12 @@
     }
 }
 
+/// Returns the path of probes that applies unless a service configures another one.
+#[must_use]
+pub fn default_health() -> String {
+    "/health".to_owned()
+}
+
 impl Service {
     /// Returns the longest time from the arrival of a request to the response head.
     #[must_use]
--- a/src/config/file.rs
+++ b/src/config/file.rs
@@ -10,6 +10,7 @@
 use crate::{
     config::{
         Access, DataCentre, Digest, Document, Key, Organisation, Portion, Repeat, Route, Service,
+        default_health,
     },
     error::Error,
     jsonc::{Fields, Located, Source},
@@ -175,6 +176,9 @@
         retry_slack: fields.integer("retry_slack", 0..=MAX_VALUE, 0),
         connections: fields.integer("connections", 1..=MAX_VALUE, DEFAULT_CONNECTIONS),
         queue: fields.integer("queue", 0..=MAX_VALUE, DEFAULT_QUEUE),
+        health: fields
+            .string("health")
+            .map_or_else(default_health, |t| t.value),
         cold_rate: fields.number("cold_rate", 0.0..=f64::from(MAX_VALUE), 0.0),
         cold_burst: fields.number("cold_burst", 0.0..=f64::from(MAX_VALUE), DEFAULT_COLD_BURST),
         cold_ms: fields.integer("cold_ms", 0..=MAX_TIMEOUT_MS, DEFAULT_COLD_MS),
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -13,7 +13,7 @@
     chunk::{ChunkError, Digest, Manifest, Packed, digest_of, pack, unpack},
     document::{
         Access, DataCentre, Document, Fence, Key, Organisation, Portion, Repeat, Route, Service,
-        partition_of,
+        default_health, partition_of,
     },
     file::{Declarations, check},
     head::{
--- a/src/net.rs
+++ b/src/net.rs
@@ -48,7 +48,7 @@
 /// Largest size of a response body, in bytes.
 const MAX_RESPONSE_BYTES: usize = 64 << 20;
 
-/// Sends a request and reads the whole response.
+/// Sends a request and reads the status and the body of the response.
 ///
 /// # Errors
 /// [`NetError`]; only [`NetError::Connect`] proves that nothing was sent.
@@ -57,6 +57,19 @@
     request: Request<Full<Bytes>>,
     limits: TimeLimits,
 ) -> Result<(StatusCode, Bytes), NetError> {
+    let (head, content) = fetch(address, request, limits).await?.into_parts();
+    Ok((head.status, content))
+}
+
+/// Sends a request and reads the whole response.
+///
+/// # Errors
+/// [`NetError`]; only [`NetError::Connect`] proves that nothing was sent.
+pub async fn fetch(
+    address: &str,
+    request: Request<Full<Bytes>>,
+    limits: TimeLimits,
+) -> Result<Response<Bytes>, NetError> {
     let stream = match timeout(limits.step, TcpStream::connect(address)).await {
         Ok(Ok(stream)) => stream,
         Ok(Err(error)) => return Err(NetError::Connect(error)),
@@ -74,7 +87,7 @@
     stream: TcpStream,
     request: Request<Full<Bytes>>,
     step: Duration,
-) -> Result<(StatusCode, Bytes), NetError> {
+) -> Result<Response<Bytes>, NetError> {
     stream.set_nodelay(true).map_err(failed)?;
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
         .await
@@ -82,14 +95,14 @@
     let driver = tokio::spawn(connection);
     let response = timeout(step, sender.send_request(request)).await;
     let response = response.map_err(|_| NetError::Timeout)?.map_err(failed)?;
-    let status = response.status();
-    let content = read_body(response, step).await?;
+    let (head, body) = response.into_parts();
+    let content = read_body(body, step).await?;
     driver.abort();
-    Ok((status, content))
+    Ok(Response::from_parts(head, content))
 }
 
-async fn read_body(response: Response<Incoming>, step: Duration) -> Result<Bytes, NetError> {
-    let mut body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES);
+async fn read_body(body: Incoming, step: Duration) -> Result<Bytes, NetError> {
+    let mut body = Limited::new(body, MAX_RESPONSE_BYTES);
     let mut content = BytesMut::new();
     while let Some(frame) = timeout(step, body.frame())
         .await
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -9,6 +9,7 @@
 mod listener;
 mod ownership;
 mod periodic_tasks;
+mod probes;
 mod registration;
 mod runner;
 
--- a/src/node/periodic_tasks.rs
+++ b/src/node/periodic_tasks.rs
@@ -2,15 +2,11 @@
 
 use std::{sync::Arc, time::Duration};
 
-use bytes::Bytes;
-use http::Request;
-use http_body_util::Full;
 use tokio::time::{interval, sleep, timeout};
 
 use crate::{
-    net::{TimeLimits, exchange},
-    node::Core,
-    proxy::other_targets,
+    node::{Core, probes::send_probe},
+    proxy::{ProbePurpose, other_targets},
 };
 
 /// How often liveness and views are updated if no change is signalled.
@@ -30,12 +26,6 @@
 /// exchanges and due probes.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Timeout of a probe.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
-
-/// The path that probes request.
-const PROBE_PATH: &str = "/health";
-
 /// Renders a view when something has changed.
 pub async fn render_views(core: Arc<Core>) {
     let mut delay = Duration::ZERO;
@@ -92,23 +82,13 @@
         for target in core.admission.eject_overdue(others, now) {
             core.record_ejection(&target);
         }
-        for (id, address) in core.admission.sweep(now) {
-            let healthy = probe(&address).await;
-            core.admission.record_probe(&id, healthy, core.clock.now());
+        for probe in core.admission.sweep(now) {
+            match probe.purpose {
+                // It stays due until its result is recorded.
+                ProbePurpose::Return => send_probe(Arc::clone(&core), probe).await,
+                ProbePurpose::Warmth => drop(tokio::spawn(send_probe(Arc::clone(&core), probe))),
+            }
         }
         core.update_record();
     }
 }
-
-/// Requests a target's health. The result only decides whether real traffic may try the target again.
-async fn probe(address: &str) -> bool {
-    let request = Request::builder()
-        .uri(PROBE_PATH)
-        .header("host", address)
-        .body(Full::new(Bytes::new()));
-    let Ok(request) = request else { return false };
-    match exchange(address, request, TimeLimits::whole(PROBE_TIMEOUT)).await {
-        Ok((status, _)) => status.is_success(),
-        Err(_) => false,
-    }
-}
--- a/src/policy/pace.rs
+++ b/src/policy/pace.rs
@@ -3,7 +3,7 @@
 //!
 //! A target may have restarted a moment ago without this node knowing. Starts since the target was last
 //! proven warm are therefore bounded as if it were cold, and proofs free the target from that bound: while
-//! answers keep arriving, only its slots limit it. See
+//! they keep arriving, only its slots limit it. Answers prove it, or the target says so when asked. See
 //! [docs/DESIGN.md](../../docs/DESIGN.md#cold-targets).
 
 use std::{
@@ -26,6 +26,12 @@
 /// Answers that take longer than this multiple of the usual latency don't prove that a target is warm.
 const WARM_RATIO: f64 = 1.5;
 
+/// Most spans of runs that are remembered.
+const MAX_SPANS: usize = 8;
+
+/// Share of the burst below which a target is asked whether it is warm.
+const INQUIRY_SHARE: f64 = 0.35;
+
 data! {
     /// What the targets of a service can take during a cold start.
     #[derive(Copy, Default)]
@@ -38,10 +44,11 @@
         pub duration: Duration,
     }
 
-    /// An answer of a target, as far as it shows whether the target is warm.
+    /// An answer over a connection that had carried another exchange, as far as it shows whether the target is
+    /// warm. The run of the target that answered lasted from when the connection was opened.
     #[derive(Copy)]
     pub struct Answer {
-        /// When its connection was opened.
+        /// When the connection was opened.
         pub opened: Instant,
         /// When its request was sent.
         pub sent: Instant,
@@ -51,20 +58,51 @@
 }
 
 impl ColdStart {
-    /// Returns whether an answer proves that its target was warm when the request was sent: the target ran
-    /// when the connection was opened, which was longer ago than a cold start lasts, and was as fast as
-    /// usual.
-    #[must_use]
-    pub fn is_warm(&self, answer: &Answer, usual: Duration) -> bool {
-        answer.sent >= answer.opened + self.duration && answer.latency <= usual.mul_f64(WARM_RATIO)
-    }
-
     /// Returns the requests that may start at once at a target that isn't known to be cold.
     fn unproven_burst(&self) -> f64 {
         (self.burst - BURST_MARGIN).max(COLD_BURST)
     }
 }
 
+/// A span of time that lies within one run of a target.
+#[derive(Debug, Clone, Copy)]
+struct Span {
+    since: Instant,
+    until: Instant,
+}
+
+impl Span {
+    /// Extends this span by another one if they have a moment in common, so that both belong to the same run, and
+    /// returns whether they do.
+    fn join(&mut self, other: Self) -> bool {
+        let common = other.since <= self.until && self.since <= other.until;
+        if common {
+            self.since = self.since.min(other.since);
+            self.until = self.until.max(other.until);
+        }
+        common
+    }
+}
+
+/// What is known of the runs of a target: spans without a common moment.
+#[derive(Debug, Clone, Default)]
+struct Runs {
+    spans: VecDeque<Span>,
+}
+
+impl Runs {
+    /// Adds a span, and returns all that is known of its run.
+    fn add(&mut self, span: Span) -> Span {
+        let mut run = span;
+        self.spans.retain(|other| !run.join(*other));
+        if self.spans.len() == MAX_SPANS {
+            self.spans.pop_front();
+        }
+        self.spans.push_back(run);
+        run
+    }
+}
+
 /// A token bucket of the requests that may start at one target, which is full again at each proof that the
 /// target is warm.
 #[derive(Debug, Clone)]
@@ -74,6 +112,7 @@
     starts: VecDeque<Instant>,
     /// Time before which proofs are ignored.
     proven: Instant,
+    runs: Runs,
 }
 
 impl Pace {
@@ -84,6 +123,7 @@
             tokens: Tokens::new(COLD_BURST, now),
             starts: VecDeque::new(),
             proven: now,
+            runs: Runs::default(),
         }
     }
 
@@ -124,6 +164,30 @@
         self.starts.push_back(now);
     }
 
+    /// Records an answer, and returns whether it proves that the target was warm when the request was sent:
+    /// the target had been running for longer than a cold start lasts, and answered about as fast as `usual`.
+    pub fn record_answer(&mut self, limits: &ColdStart, answer: &Answer, usual: Duration) -> bool {
+        let run = self.runs.add(Span {
+            since: answer.opened,
+            until: answer.sent,
+        });
+        let warm = answer.sent >= run.since + limits.duration
+            && answer.latency <= usual.mul_f64(WARM_RATIO);
+        if warm {
+            self.record_proof(limits, answer.sent);
+        }
+        warm
+    }
+
+    /// Returns whether the target should be asked whether it is warm, since few requests may start otherwise.
+    pub fn wants_proof(&mut self, limits: &ColdStart, now: Instant) -> bool {
+        if limits.rate <= 0.0 {
+            return false;
+        }
+        self.refill(limits, false, now);
+        !self.tokens.has(INQUIRY_SHARE * limits.unproven_burst())
+    }
+
     /// Records that the target was warm at `sent`: only the starts since then may have reached a cold one.
     pub fn record_proof(&mut self, limits: &ColdStart, sent: Instant) {
         if limits.rate <= 0.0 || sent <= self.proven {
--- a/src/policy/tokens.rs
+++ b/src/policy/tokens.rs
@@ -29,7 +29,13 @@
     /// Returns whether there is a whole token.
     #[must_use]
     pub fn is_available(&self) -> bool {
-        self.count >= 1.0
+        self.has(1.0)
+    }
+
+    /// Returns whether there are this many tokens.
+    #[must_use]
+    pub fn has(&self, wanted: f64) -> bool {
+        self.count >= wanted
     }
 
     /// Returns the time until there are `wanted` tokens at `rate`, in tokens a second.
--- a/src/proxy/admission.rs
+++ b/src/proxy/admission.rs
@@ -24,7 +24,7 @@
     proxy::{
         Code,
         exchange::ConnectionPool,
-        target_state::{Announcement, FailureTest, ManagedTarget, Waiter},
+        target_state::{Announcement, FailureTest, ManagedTarget, Probe, Waiter},
     },
 };
 
@@ -147,18 +147,30 @@
     /// Removes targets whose lease has expired and that run no requests; targets that were leaving are
     /// retained for longer.
     ///
-    /// Returns the ids and addresses of ejected targets that are due for a probe, which decides
-    /// whether they return.
-    pub fn sweep(&self, now: Instant) -> Vec<(String, String)> {
+    /// Returns the probes that are due.
+    pub fn sweep(&self, now: Instant) -> Vec<Probe> {
         let mut targets = self.lock();
         targets.retain(|_, t| t.is_retained(now) || t.running > 0);
         targets
-            .values()
-            .filter(|t| t.is_probe_due(now))
-            .map(|t| (t.announcement.id.clone(), t.announcement.address.clone()))
+            .values_mut()
+            .filter_map(|t| t.take_probe(now))
             .collect()
     }
 
+    /// Records that a target stated, in response to a probe that was sent at `sent`, how long it stays cold.
+    pub fn record_cold_left(
+        self: &Arc<Self>,
+        target: &str,
+        cold_left: Duration,
+        sent: Instant,
+        now: Instant,
+    ) {
+        if let Some(target) = self.lock().get_mut(target) {
+            target.record_cold_left(cold_left, sent, now);
+        }
+        self.admit_waiting(target);
+    }
+
     /// Records the result of a probe of an ejected target; a good result ends the ejection, a bad one
     /// extends it.
     pub fn record_probe(&self, target: &str, good: bool, now: Instant) {
--- a/src/proxy/egress.rs
+++ b/src/proxy/egress.rs
@@ -447,12 +447,14 @@
     }
     if !is_misdirected(&core.header_names, response.status()) {
         apply_statements(&core, &attempt.target, response.headers(), sent);
-        let answer = Answer {
-            opened: connection.opened,
-            sent,
-            latency,
-        };
-        core.admission.record_answer(&permit, &answer);
+        if reused {
+            let answer = Answer {
+                opened: connection.opened,
+                sent,
+                latency,
+            };
+            core.admission.record_answer(&permit, &answer);
+        }
     }
     if refused {
         log_failure(
--- a/src/proxy/header_names.rs
+++ b/src/proxy/header_names.rs
@@ -30,6 +30,10 @@
     /// Names the target that a request is meant for; `None` if requests don't name it. Any other target
     /// responds with status 421.
     pub expected_target: Option<HeaderName>,
+    /// Names the target in its response to a probe.
+    pub target_id: HeaderName,
+    /// States in a response to a probe for how many milliseconds the target stays cold; absent if it is warm.
+    pub cold_left: HeaderName,
     /// Whether callers may use HTTP/2 in addition to HTTP/1.1.
     pub http2: bool,
 }
@@ -56,6 +60,8 @@
             leaving: HeaderName::from_static("x-leaving"),
             source_service: None,
             expected_target: None,
+            target_id: HeaderName::from_static("x-target"),
+            cold_left: HeaderName::from_static("x-cold-ms"),
             http2: true,
         }
     }
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -33,6 +33,6 @@
     quota::{Quota, Role, forward_draw},
     rates::Rates,
     retries::Purpose,
-    target_state::{Announcement, FailureTest},
+    target_state::{Announcement, FailureTest, Probe, ProbePurpose},
     tracked_body::TrackedBody,
 };
--- a/src/proxy/target_state.rs
+++ b/src/proxy/target_state.rs
@@ -33,6 +33,10 @@
 /// limit that this node doesn't know.
 const UNANSWERED_LIMIT: usize = 4;
 
+/// Minimum interval between probes that ask a target whether it is warm. Probes cost the target work, and
+/// deployments limit them.
+const INQUIRY_INTERVAL: Duration = Duration::from_millis(500);
+
 /// How long the state of a leaving target is retained after its lease, since earlier announcements may
 /// arrive this late.
 const LEAVING_RETENTION: Duration = Duration::from_secs(60);
@@ -88,6 +92,29 @@
     }
 }
 
+/// A probe of a target.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Probe {
+    /// The target's id.
+    pub target: String,
+    /// The target's service.
+    pub service: String,
+    /// The address to send the probe to.
+    pub address: String,
+    /// What the response decides.
+    pub purpose: ProbePurpose,
+}
+
+value! {
+    /// What the response to a probe decides.
+    pub enum ProbePurpose {
+        /// Whether an ejected target returns.
+        Return,
+        /// Whether a target is warm, so that more requests may start at it.
+        Warmth,
+    }
+}
+
 /// An exchange that has not ended.
 struct RunningExchange {
     started: Instant,
@@ -116,6 +143,7 @@
     was_ejected: bool,
     unreachable_until: Option<Instant>,
     next_trial: Instant,
+    next_inquiry: Instant,
     pub(super) running: usize,
     pub(super) connections: usize,
     exchanges: HashMap<u64, RunningExchange>,
@@ -139,6 +167,7 @@
             was_ejected: false,
             unreachable_until: None,
             next_trial: now,
+            next_inquiry: now,
             running: 0,
             connections: usize::MAX,
             exchanges: HashMap::new(),
@@ -310,9 +339,42 @@
         self.suspicion.is_suspected(now)
     }
 
-    /// Returns whether the target's ejection has lasted long enough for a probe.
-    pub(super) fn is_probe_due(&self, now: Instant) -> bool {
-        self.detector.is_probe_due(now)
+    /// Returns the probe that is due, if any.
+    pub(super) fn take_probe(&mut self, now: Instant) -> Option<Probe> {
+        let purpose = if self.detector.is_probe_due(now) {
+            ProbePurpose::Return
+        } else if self.take_inquiry(now) {
+            ProbePurpose::Warmth
+        } else {
+            return None;
+        };
+        Some(Probe {
+            target: self.announcement.id.clone(),
+            service: self.announcement.service.clone(),
+            address: self.announcement.address.clone(),
+            purpose,
+        })
+    }
+
+    /// Returns whether the target should be asked now whether it is warm, and if so schedules the next
+    /// time.
+    fn take_inquiry(&mut self, now: Instant) -> bool {
+        let due = now >= self.next_inquiry
+            && !self.is_cold(now)
+            && self.pace.wants_proof(&self.cold_start, now);
+        if due {
+            self.next_inquiry = now + INQUIRY_INTERVAL;
+        }
+        due
+    }
+
+    /// Records how long the target stays cold, according to its response to a probe that was sent at `sent`.
+    pub(super) fn record_cold_left(&mut self, cold_left: Duration, sent: Instant, now: Instant) {
+        if cold_left.is_zero() {
+            self.pace.record_proof(&self.cold_start, sent);
+        } else {
+            self.cold_until = self.cold_until.max(now + cold_left);
+        }
     }
 
     /// Records the result of a probe: a good result ends the ejection, after which the target starts with
@@ -371,11 +433,7 @@
             FailureTest::Objective(class) => self.suspicion.expected_latency(class),
             FailureTest::Comparison | FailureTest::Off => self.limit.usual_latency(),
         };
-        let warm = answer.sent >= self.cold_until && self.cold_start.is_warm(answer, usual);
-        if warm {
-            self.pace.record_proof(&self.cold_start, answer.sent);
-        }
-        warm
+        answer.sent >= self.cold_until && self.pace.record_answer(&self.cold_start, answer, usual)
     }
 
     /// Records the result of an exchange, and returns whether it ejects the target.
--- a/tests/cold_targets.rs
+++ b/tests/cold_targets.rs
@@ -1,7 +1,10 @@
 //! The pace of starts at targets that may be cold: the bound of a cold target holds whenever it restarts, and a
 //! warm target is kept busy. All runs are in virtual time.
 
-use std::time::{Duration, Instant};
+use std::{
+    ops::Range,
+    time::{Duration, Instant},
+};
 
 use marjoramdyke::policy::pace::{Answer, ColdStart, Pace};
 use rand::{Rng, SeedableRng, rngs::StdRng};
@@ -22,6 +25,8 @@
     (7.7, 10.0),
 ];
 
+const NEVER: Duration = Duration::from_secs(3_600);
+
 fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
 }
@@ -42,10 +47,19 @@
 /// An exchange of a [`Simulation`].
 struct Running {
     sent: Instant,
-    opened: Instant,
+    connection: Connection,
     ends: Instant,
 }
 
+/// A connection of a [`Simulation`].
+#[derive(Clone, Copy)]
+struct Connection {
+    opened: Instant,
+    /// Exchanges that it has carried, and after which the target closes it.
+    exchanges: u32,
+    last: u32,
+}
+
 /// How a simulated target becomes cold.
 #[derive(Clone, Copy)]
 enum Cold {
@@ -62,6 +76,10 @@
     work: Duration,
     cold_at: Instant,
     cold: Cold,
+    /// Exchanges after which the target closes a connection.
+    exchanges: Range<u32>,
+    /// Time between two probes that ask the target whether it is warm.
+    probe_interval: Duration,
 }
 
 impl Simulation {
@@ -69,8 +87,9 @@
     fn run(&self, start: Instant, end: Instant) -> Vec<Instant> {
         let mut pace = Pace::new(start);
         let mut running: Vec<Running> = Vec::new();
-        // When the idle connections were opened.
-        let mut idle: Vec<Instant> = Vec::new();
+        let mut idle: Vec<Connection> = Vec::new();
+        let mut next_probe = start;
+        let mut rng = StdRng::seed_from_u64(1);
         let mut starts = Vec::new();
         let mut now = start;
         let mut was_cold = false;
@@ -82,23 +101,38 @@
             }
             was_cold = is_cold;
             for ended in running.extract_if(.., |r| r.ends <= now) {
+                let mut connection = ended.connection;
                 let answer = Answer {
-                    opened: ended.opened,
+                    opened: connection.opened,
                     sent: ended.sent,
                     latency: ended.ends - ended.sent,
                 };
-                if self.limits.is_warm(&answer, self.work) {
-                    pace.record_proof(&self.limits, answer.sent);
+                if connection.exchanges > 0 {
+                    pace.record_answer(&self.limits, &answer, self.work);
+                }
+                connection.exchanges += 1;
+                if connection.exchanges < connection.last {
+                    idle.push(connection);
+                }
+            }
+            if now >= next_probe && pace.wants_proof(&self.limits, now) {
+                next_probe = now + self.probe_interval;
+                if !is_cold {
+                    pace.record_proof(&self.limits, now);
                 }
-                idle.push(ended.opened);
             }
             while running.len() < self.slots && pace.may_start(&self.limits, false, now) {
                 pace.record_start(now);
                 starts.push(now);
                 let slowdown = if is_cold { COLD_SLOWDOWN } else { 1 };
+                let new = Connection {
+                    opened: now,
+                    exchanges: 0,
+                    last: rng.random_range(self.exchanges.clone()),
+                };
                 running.push(Running {
                     sent: now,
-                    opened: idle.pop().unwrap_or(now),
+                    connection: idle.pop().unwrap_or(new),
                     ends: now + self.work * slowdown,
                 });
             }
@@ -130,6 +164,8 @@
                     work: ms(work),
                     cold_at: start + cold_at,
                     cold,
+                    exchanges: u32::MAX - 1..u32::MAX,
+                    probe_interval: NEVER,
                 });
             }
         }
@@ -157,11 +193,29 @@
     }
 }
 
+/// Asserts that a target starts as many requests as its slots allow, or as may run before the first of them
+/// proves anything.
+fn assert_busy(simulation: &Simulation, start: Instant) {
+    let (from, until) = (start + ms(10_000), start + ms(30_000));
+    let starts = simulation.run(start, until);
+    let started = count(starts.iter().filter(|s| **s >= from));
+    let work = simulation.work.as_secs_f64();
+    let slots = f64::from(u32::try_from(simulation.slots).unwrap());
+    let unproven = simulation.limits.burst - 1.0 + simulation.limits.rate * work;
+    let wanted = 0.9 * slots.min(unproven) / work * 20.0 - slots;
+    let run = simulation.describe();
+    assert!(
+        started >= wanted,
+        "{run}: {started} requests in 20 s, wanted {wanted}"
+    );
+}
+
 #[test]
 fn starts_at_target_that_restarts_unnoticed_stay_within_bound_at_any_moment() {
     let start = Instant::now();
     for moment in (0..8_000).step_by(617) {
-        for simulation in simulations(start, ms(moment), Cold::Restart) {
+        for mut simulation in simulations(start, ms(moment), Cold::Restart) {
+            simulation.probe_interval = ms(500);
             let starts = simulation.run(start, start + ms(moment + 3_500));
             assert_bounded(&simulation, &starts);
         }
@@ -172,7 +226,8 @@
 fn starts_at_target_that_becomes_cold_in_place_stay_within_bound() {
     let start = Instant::now();
     for moment in (0..8_000).step_by(617) {
-        for simulation in simulations(start, ms(moment), Cold::InPlace) {
+        for mut simulation in simulations(start, ms(moment), Cold::InPlace) {
+            simulation.probe_interval = ms(500);
             let starts = simulation.run(start, start + ms(moment + 3_500));
             assert_bounded(&simulation, &starts);
         }
@@ -182,16 +237,38 @@
 #[test]
 fn warm_target_with_waiting_requests_is_kept_busy() {
     let start = Instant::now();
-    let never = Duration::from_secs(3_600);
-    for simulation in simulations(start, never, Cold::Restart) {
+    for simulation in simulations(start, NEVER, Cold::Restart) {
+        assert_busy(&simulation, start);
+    }
+}
+
+#[test]
+fn warm_target_is_kept_busy_although_it_closes_connections_that_are_younger_than_a_cold_start() {
+    let start = Instant::now();
+    for mut simulation in simulations(start, NEVER, Cold::Restart) {
+        // Connections must overlap to show that the target has not restarted between them.
+        if simulation.slots < 7 || simulation.work < ms(60) {
+            continue;
+        }
+        simulation.exchanges = 3..12;
+        simulation.probe_interval = ms(500);
+        assert_busy(&simulation, start);
+    }
+}
+
+#[test]
+fn warm_target_that_is_only_used_over_new_connections_takes_what_probes_allow() {
+    let start = Instant::now();
+    for mut simulation in simulations(start, NEVER, Cold::Restart) {
+        simulation.exchanges = 1..2;
+        simulation.probe_interval = ms(500);
         let (from, until) = (start + ms(10_000), start + ms(30_000));
         let starts = simulation.run(start, until);
         let started = count(starts.iter().filter(|s| **s >= from));
-        let work = simulation.work.as_secs_f64();
         let slots = f64::from(u32::try_from(simulation.slots).unwrap());
-        // Requests that may run before the first of them proves anything.
-        let unproven = simulation.limits.burst - 1.0 + simulation.limits.rate * work;
-        let wanted = 0.9 * slots.min(unproven) / work * 20.0 - slots;
+        // Two probes a second, each of which allows a burst.
+        let paced = simulation.limits.rate + 2.0 * (simulation.limits.burst - 1.0);
+        let wanted = 0.6 * paced.min(slots / simulation.work.as_secs_f64()) * 20.0 - slots;
         let run = simulation.describe();
         assert!(
             started >= wanted,
