Targets are probed for warmth only once few starts are left

A new target starts with four requests at once, so a threshold relative to the burst made a node ask each target at its start.

--- a/src/policy/pace.rs
+++ b/src/policy/pace.rs
@@ -29,8 +29,8 @@
 /// Most spans of runs that are remembered.
 const MAX_SPANS: usize = 8;
 
-/// Share of the burst below which a target is asked whether it is warm.
-const INQUIRY_SHARE: f64 = 0.35;
+/// Requests that may start at once, below which a target is asked whether it is warm.
+const INQUIRY_TOKENS: f64 = 3.0;
 
 data! {
     /// What the targets of a service can take during a cold start.
@@ -196,7 +196,7 @@
             return false;
         }
         self.refill(limits, false, now);
-        !self.tokens.has(INQUIRY_SHARE * limits.unproven_burst())
+        !self.tokens.has(INQUIRY_TOKENS)
     }
 
     /// Records that the target was warm at `sent`: only the starts since then may have reached a cold one.
--- a/tests/cold_targets.rs
+++ b/tests/cold_targets.rs
@@ -3,10 +3,19 @@
 
 use std::{
     ops::Range,
+    sync::Arc,
     time::{Duration, Instant},
 };
 
-use marjoramdyke::policy::pace::{Answer, ColdStart, Pace};
+use marjoramdyke::{
+    clock::{Clock, ManualClock},
+    policy::{
+        pace::{Answer, ColdStart, Pace},
+        queue::Rank,
+        stated_limit::StatedRate,
+    },
+    proxy::{Admission, AdmissionRequest, Announcement, Permit, ProbePurpose},
+};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
 /// How many times longer a cold target works on a request.
@@ -306,3 +315,82 @@
         assert!(starts.len() > 400, "seed {seed}: too few requests start");
     }
 }
+
+#[tokio::test]
+async fn target_is_asked_whether_it_is_warm_before_its_starts_are_used_up() {
+    let clock = Arc::new(ManualClock::new());
+    let admission = Arc::new(Admission::new(Arc::clone(&clock) as Arc<dyn Clock>));
+    let announcement = Announcement {
+        id: "orders-1".to_owned(),
+        service: "orders".to_owned(),
+        address: "127.0.0.1:1".to_owned(),
+        slots: 100,
+        cold_left: Duration::ZERO,
+        leaving: false,
+        started_ms: 1_000,
+        sequence: 1,
+        lease: NEVER,
+    };
+    let now = clock.now();
+    assert!(admission.apply_announcement(announcement, now));
+    let limits = cold_start((14.0, 5.0));
+    admission.configure(|_| Some((100, limits)));
+    // A target that has not responded yet gets few requests at once; it has responded here.
+    admission.apply_stated_rate("orders-1", StatedRate::Unlimited, now, now);
+    assert!(
+        admission.sweep(now).is_empty(),
+        "an idle target needs no probe"
+    );
+    let mut permits = start_all(&admission, limits, now).await;
+    let probes = admission.sweep(now);
+    assert_eq!(probes.len(), 1);
+    assert_eq!(probes[0].purpose, ProbePurpose::Warmth);
+    assert!(
+        admission.sweep(now).is_empty(),
+        "the next probe is due later"
+    );
+    clock.advance(ms(10));
+    let now = clock.now();
+    admission.record_cold_left("orders-1", Duration::ZERO, now, now);
+    permits.append(&mut start_all(&admission, limits, now).await);
+    assert!(permits.len() >= 14, "{} requests started", permits.len());
+    clock.advance(ms(1_000));
+    let now = clock.now();
+    admission.record_cold_left("orders-1", ms(2_000), now, now);
+    let started = start_all(&admission, limits, now).await.len();
+    assert!(
+        started <= 4,
+        "{started} requests started at once at a cold target"
+    );
+    assert!(
+        admission.sweep(now).is_empty(),
+        "a target that is known to be cold needs no probe"
+    );
+}
+
+/// Starts requests until no further one may start.
+async fn start_all(admission: &Arc<Admission>, limits: ColdStart, now: Instant) -> Vec<Permit> {
+    let request = AdmissionRequest {
+        target: "orders-1",
+        service: "orders",
+        rank: Rank {
+            external: true,
+            organisation: 0,
+            route: 0,
+        },
+        organisation: "alpha",
+        weight: 1,
+        deadline: now,
+        objective: None,
+        queue_limit: 64,
+        connections: 100,
+        cold_start: limits,
+        avoid_suspected: false,
+        floor: false,
+    };
+    let mut permits = Vec::new();
+    while let Ok(permit) = admission.admit(&request, now).await {
+        permits.push(permit);
+    }
+    permits
+}
