The burst of a possibly cold target never exceeds what the deployment allows

Cause: four requests might always start at once, which exceeds the bound where a deployment allows fewer. No deployment of the users does.

For the users' deployments nothing changes: their bursts are 8 and more.

--- a/src/policy/pace.rs
+++ b/src/policy/pace.rs
@@ -13,7 +13,7 @@
 
 use crate::policy::tokens::Tokens;
 
-/// Requests that may start at once at a target that is known to be cold.
+/// Most requests that may start at once at a target that is known to be cold.
 const COLD_BURST: f64 = 4.0;
 
 /// Requests by which the burst stays below what a cold target can take: a start close to the edge of a second may
@@ -60,7 +60,12 @@
 impl ColdStart {
     /// Returns the requests that may start at once at a target that isn't known to be cold.
     fn unproven_burst(&self) -> f64 {
-        (self.burst - BURST_MARGIN).max(COLD_BURST)
+        (self.burst - BURST_MARGIN).max(1.0)
+    }
+
+    /// Returns the requests that may start at once at a target that is known to be cold.
+    fn cold_burst(&self) -> f64 {
+        COLD_BURST.min(self.unproven_burst())
     }
 }
 
@@ -129,7 +134,7 @@
 
     fn refill(&mut self, limits: &ColdStart, cold: bool, now: Instant) {
         let burst = match cold {
-            true => COLD_BURST,
+            true => limits.cold_burst(),
             false => limits.unproven_burst(),
         };
         self.tokens.refill(limits.rate, burst, now);
@@ -196,7 +201,9 @@
             return false;
         }
         self.refill(limits, false, now);
-        !self.tokens.has(INQUIRY_TOKENS)
+        !self
+            .tokens
+            .has(INQUIRY_TOKENS.min(limits.unproven_burst() / 2.0))
     }
 
     /// Records that the target was warm at `sent`: only the starts since then may have reached a cold one.
--- a/src/proxy/lifecycle.rs
+++ b/src/proxy/lifecycle.rs
@@ -56,7 +56,7 @@
 /// Share of the longest wait within which a refusal is a forecast that the wait would be in vain.
 const FORECAST_SHARE: f64 = 0.25;
 
-/// Maximum number of targets that refuse by forecast to let one request wait before another one is not tried.
+/// Maximum number of further targets at which a request may wait after a refusal by forecast.
 const MAX_FORECAST_REFUSALS: u32 = 1;
 
 /// Added to the load of remote targets, as a share of slots: a request waits at a remote target only if the
