--- a/src/node/probes.rs
+++ b/src/node/probes.rs
@@ -9,15 +9,13 @@
 use crate::{
     net::{NetError, TimeLimits, fetch},
     node::Core,
+    policy::pace::parse_cold_left,
     proxy::{HeaderNames, Probe, ProbePurpose},
 };
 
 /// Timeout of a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Longest cold start that a target may state.
-const MAX_COLD: Duration = Duration::from_secs(3_600);
-
 /// Sends a probe, and records what the response decides.
 ///
 /// Health alone never decides whether a target is in use: it may be good at a failing target. It only decides
@@ -77,6 +75,5 @@
         return Some(Duration::ZERO);
     };
     let cold_ms: f64 = cold_ms.trim().parse().ok()?;
-    let cold_left = Duration::try_from_secs_f64(cold_ms / 1e3).ok()?;
-    (cold_left <= MAX_COLD).then_some(cold_left)
+    parse_cold_left(cold_ms / 1e3)
 }
--- a/src/policy/pace.rs
+++ b/src/policy/pace.rs
@@ -20,6 +20,9 @@
 /// arrive in the next one.
 const BURST_MARGIN: f64 = 1.0;
 
+/// Longest cold start that a target may state.
+const MAX_COLD: Duration = Duration::from_secs(3_600);
+
 /// Most starts that are remembered. A proof that is older than the oldest one is ignored.
 const MAX_STARTS: usize = 512;
 
@@ -69,6 +72,13 @@
     }
 }
 
+/// Returns the rest of a cold start that a target states, in seconds; `None` if it can't be true.
+#[must_use]
+pub fn parse_cold_left(seconds: f64) -> Option<Duration> {
+    let cold_left = Duration::try_from_secs_f64(seconds).ok()?;
+    (cold_left <= MAX_COLD).then_some(cold_left)
+}
+
 /// A span of time that lies within one run of a target.
 #[derive(Debug, Clone, Copy)]
 struct Span {
@@ -149,24 +159,19 @@
         self.tokens.is_available()
     }
 
-    /// Returns the time until a request may start.
-    pub fn time_to_start(&mut self, limits: &ColdStart, cold: bool, now: Instant) -> Duration {
+    /// Returns the time until a request may start that `ahead` others precede.
+    pub fn time_to_start(
+        &mut self,
+        limits: &ColdStart,
+        cold: bool,
+        ahead: usize,
+        now: Instant,
+    ) -> Duration {
         if limits.rate <= 0.0 {
             return Duration::ZERO;
         }
         self.refill(limits, cold, now);
-        self.tokens.time_until(1.0, limits.rate)
-    }
-
-    /// Returns the time until a request may start at a cold target that `ahead` others precede.
-    pub fn cold_wait(&mut self, limits: &ColdStart, ahead: usize, now: Instant) -> Duration {
-        if limits.rate <= 0.0 {
-            return Duration::ZERO;
-        }
-        self.refill(limits, true, now);
-        #[expect(clippy::cast_precision_loss, reason = "queues are short")]
-        let wanted = ahead as f64 + 1.0;
-        self.tokens.time_until(wanted, limits.rate)
+        self.tokens.time_to_start(ahead, limits.rate)
     }
 
     /// Records that a request starts.
--- a/src/policy/stated_limit.rs
+++ b/src/policy/stated_limit.rs
@@ -90,9 +90,7 @@
     /// Returns the time until a request may start that `ahead` others precede.
     pub fn time_to_start(&mut self, ahead: usize, now: Instant) -> Duration {
         self.refill(now);
-        #[expect(clippy::cast_precision_loss, reason = "queues are short")]
-        let wanted = ahead as f64 + 1.0;
-        self.tokens.time_until(wanted, self.rate)
+        self.tokens.time_to_start(ahead, self.rate)
     }
 
     /// Returns whether a request may start now.
--- a/src/policy/tokens.rs
+++ b/src/policy/tokens.rs
@@ -38,9 +38,12 @@
         self.count >= wanted
     }
 
-    /// Returns the time until there are `wanted` tokens at `rate`, in tokens a second.
+    /// Returns the time until there is a token at `rate`, in tokens a second, for a request that `ahead` others
+    /// precede.
     #[must_use]
-    pub fn time_until(&self, wanted: f64, rate: f64) -> Duration {
+    pub fn time_to_start(&self, ahead: usize, rate: f64) -> Duration {
+        #[expect(clippy::cast_precision_loss, reason = "queues are short")]
+        let wanted = ahead as f64 + 1.0;
         Duration::from_secs_f64((wanted - self.count).max(0.0) / rate)
     }
 
--- a/src/proxy/egress.rs
+++ b/src/proxy/egress.rs
@@ -286,9 +286,9 @@
     };
     let admitted = core.admission.admit(&admission_request, now).await;
     admitted.map_err(|code| {
-        let wait = core.admission.expected_wait(&attempt.target, attempt.rank);
-        let waits = code == Code::Overloaded && !wait.is_zero();
-        (code, waits.then_some(wait))
+        let forecast = || core.admission.expected_wait(&attempt.target, attempt.rank);
+        let wait = (code == Code::Overloaded).then(forecast);
+        (code, wait.filter(|w| !w.is_zero()))
     })
 }
 
--- a/src/proxy/target_state.rs
+++ b/src/proxy/target_state.rs
@@ -258,7 +258,7 @@
     /// Returns the time until the target's pace and its stated limit allow a request to start.
     pub(super) fn time_to_start(&mut self, now: Instant) -> Duration {
         let cold = self.is_cold(now);
-        let pace = self.pace.time_to_start(&self.cold_start, cold, now);
+        let pace = self.pace.time_to_start(&self.cold_start, cold, 0, now);
         let stated = self.stated.as_mut().map(|s| s.time_to_start(0, now));
         pace.max(stated.unwrap_or_default())
     }
@@ -268,10 +268,10 @@
     pub(super) fn expected_wait(&mut self, rank: Rank, now: Instant) -> Duration {
         let ahead = self.queue.count_ahead(rank);
         let slot = self.slot_time.wait(ahead, self.running, self.concurrency());
-        let pace = match self.is_cold(now) {
-            true => self.pace.cold_wait(&self.cold_start, ahead, now),
-            false => self.pace.time_to_start(&self.cold_start, false, now),
-        };
+        // A warm target proves so while requests are ahead, which ends the pace of those behind them.
+        let cold = self.is_cold(now);
+        let paced = if cold { ahead } else { 0 };
+        let pace = self.pace.time_to_start(&self.cold_start, cold, paced, now);
         let stated = self.stated.as_mut().map(|s| s.time_to_start(ahead, now));
         slot.max(pace).max(stated.unwrap_or_default())
     }
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -2,13 +2,15 @@
 //! deployments that configure bounds: evidence of failure, pacing, shares of quotas, retry budgets and
 //! ranked queues.
 
+mod one_target;
+
 use std::{
     sync::Arc,
     time::{Duration, Instant},
 };
 
 use marjoramdyke::{
-    clock::{Clock, ManualClock},
+    clock::Clock,
     fleet::codec::TargetState,
     policy::{
         budget::RetryBudget,
@@ -21,6 +23,7 @@
     },
     proxy::{Admission, AdmissionRequest, Announcement, Code, FailureTest, Permit},
 };
+use one_target::{empty_admission, request};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
 /// Non-idempotent requests with an objective of 2.5 s.
@@ -262,41 +265,19 @@
 
 fn announcement(sequence: u64) -> Announcement {
     Announcement {
-        id: "orders-1".to_owned(),
-        service: "orders".to_owned(),
-        address: "127.0.0.1:1".to_owned(),
-        slots: 2,
-        cold_left: Duration::ZERO,
-        leaving: false,
-        started_ms: 1_000,
         sequence,
         lease: ms(10_000),
+        ..one_target::announcement(2)
     }
 }
 
 fn admission_request(deadline: Instant) -> AdmissionRequest<'static> {
     AdmissionRequest {
-        target: "orders-1",
-        service: "orders",
-        rank: rank(true, 0),
-        organisation: "alpha",
-        weight: 1,
-        deadline,
-        objective: None,
-        queue_limit: 64,
-        connections: 100,
-        cold_start: COLD_START,
         avoid_suspected: true,
-        floor: false,
+        ..request(deadline, COLD_START)
     }
 }
 
-fn manual_admission() -> (Arc<ManualClock>, Arc<Admission>) {
-    let clock = Arc::new(ManualClock::new());
-    let admission = Arc::new(Admission::new(Arc::clone(&clock) as Arc<dyn Clock>));
-    (clock, admission)
-}
-
 /// Requests admission without waiting for a slot.
 async fn admit(admission: &Arc<Admission>, now: Instant) -> Result<Permit, Code> {
     admission.admit(&admission_request(now), now).await
@@ -304,7 +285,7 @@
 
 #[tokio::test]
 async fn draining_target_refuses_requests_and_ignores_older_announcements() {
-    let (clock, admission) = manual_admission();
+    let (clock, admission) = empty_admission();
     let now = clock.now();
     assert!(admission.apply_announcement(announcement(5), now));
     let permits = [admit(&admission, now).await, admit(&admission, now).await];
@@ -345,7 +326,7 @@
 
 #[tokio::test]
 async fn closing_admission_refuses_waiting_and_new_requests() {
-    let (clock, admission) = manual_admission();
+    let (clock, admission) = empty_admission();
     let now = clock.now();
     admission.apply_announcement(announcement(1), now);
     let permits = [admit(&admission, now).await, admit(&admission, now).await];
@@ -367,7 +348,7 @@
 
 #[tokio::test]
 async fn address_belongs_to_target_started_last() {
-    let (clock, admission) = manual_admission();
+    let (clock, admission) = empty_admission();
     let now = clock.now();
     admission.apply_announcement(announcement(1), now);
     let next = Announcement {
@@ -385,7 +366,7 @@
 
 #[tokio::test]
 async fn waiting_request_that_avoids_suspected_targets_is_refused_once_target_is_suspected() {
-    let (clock, admission) = manual_admission();
+    let (clock, admission) = empty_admission();
     let now = clock.now();
     admission.apply_announcement(announcement(1), now);
     let first = admit(&admission, now).await.unwrap();
@@ -419,7 +400,7 @@
 
 #[tokio::test]
 async fn ejected_target_that_floor_keeps_in_use_gets_occasional_trials() {
-    let (clock, admission) = manual_admission();
+    let (clock, admission) = empty_admission();
     admission.apply_announcement(announcement(1), clock.now());
     let healthy_others = OtherTargets {
         failure_share: 0.0,
@@ -482,7 +463,7 @@
         (FailureTest::Off, TargetState::Warm),
         (FailureTest::Comparison, TargetState::Ejected),
     ] {
-        let (clock, admission) = manual_admission();
+        let (clock, admission) = empty_admission();
         admission.apply_announcement(announcement(1), clock.now());
         for _ in 0..8 {
             let now = clock.now();
@@ -500,7 +481,7 @@
 
 #[tokio::test]
 async fn target_without_requests_is_warm_if_announced_so() {
-    let (clock, admission) = manual_admission();
+    let (clock, admission) = empty_admission();
     admission.apply_announcement(announcement(1), clock.now());
     admission.configure(|service| (service == "orders").then_some((100, COLD_START)));
     assert_eq!(admission.records(clock.now())[0].state(), TargetState::Warm);
--- a/tests/cold_targets.rs
+++ b/tests/cold_targets.rs
@@ -1,6 +1,8 @@
 //! The pace of starts at targets that may be cold: the bound of a cold target holds whenever it restarts, and a
 //! warm target is kept busy. All runs are in virtual time.
 
+mod one_target;
+
 use std::{
     ops::Range,
     sync::Arc,
@@ -8,14 +10,14 @@
 };
 
 use marjoramdyke::{
-    clock::{Clock, ManualClock},
+    clock::Clock,
     policy::{
         pace::{Answer, ColdStart, Pace},
-        queue::Rank,
         stated_limit::StatedRate,
     },
-    proxy::{Admission, AdmissionRequest, Announcement, Permit, ProbePurpose},
+    proxy::{Admission, Permit, ProbePurpose},
 };
+use one_target::{TARGET, admission, request};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
 /// How many times longer a cold target works on a request.
@@ -226,11 +228,11 @@
     );
 }
 
-#[test]
-fn starts_at_target_that_restarts_unnoticed_stay_within_bound_at_any_moment() {
+/// Asserts that the bound of a cold target holds whenever the target becomes cold.
+fn assert_bounded_at_any_moment(cold: Cold) {
     let start = Instant::now();
     for moment in (0..8_000).step_by(617) {
-        for mut simulation in simulations(start, ms(moment), Cold::Restart) {
+        for mut simulation in simulations(start, ms(moment), cold) {
             simulation.probe_interval = ms(500);
             let starts = simulation.run(start, start + ms(moment + 3_500));
             assert_bounded(&simulation, &starts);
@@ -238,16 +240,14 @@
     }
 }
 
+#[test]
+fn starts_at_target_that_restarts_unnoticed_stay_within_bound_at_any_moment() {
+    assert_bounded_at_any_moment(Cold::Restart);
+}
+
 #[test]
 fn starts_at_target_that_becomes_cold_in_place_stay_within_bound() {
-    let start = Instant::now();
-    for moment in (0..8_000).step_by(617) {
-        for mut simulation in simulations(start, ms(moment), Cold::InPlace) {
-            simulation.probe_interval = ms(500);
-            let starts = simulation.run(start, start + ms(moment + 3_500));
-            assert_bounded(&simulation, &starts);
-        }
-    }
+    assert_bounded_at_any_moment(Cold::InPlace);
 }
 
 #[test]
@@ -325,25 +325,12 @@
 
 #[tokio::test]
 async fn target_is_asked_whether_it_is_warm_before_its_starts_are_used_up() {
-    let clock = Arc::new(ManualClock::new());
-    let admission = Arc::new(Admission::new(Arc::clone(&clock) as Arc<dyn Clock>));
-    let announcement = Announcement {
-        id: "orders-1".to_owned(),
-        service: "orders".to_owned(),
-        address: "127.0.0.1:1".to_owned(),
-        slots: 100,
-        cold_left: Duration::ZERO,
-        leaving: false,
-        started_ms: 1_000,
-        sequence: 1,
-        lease: NEVER,
-    };
+    let (clock, admission) = admission(100);
     let now = clock.now();
-    assert!(admission.apply_announcement(announcement, now));
     let limits = cold_start((14.0, 5.0));
     admission.configure(|_| Some((100, limits)));
     // A target that has not responded yet gets few requests at once; it has responded here.
-    admission.apply_stated_rate("orders-1", StatedRate::Unlimited, now, now);
+    admission.apply_stated_rate(TARGET, StatedRate::Unlimited, now, now);
     assert!(
         admission.sweep(now).is_empty(),
         "an idle target needs no probe"
@@ -358,12 +345,12 @@
     );
     clock.advance(ms(10));
     let now = clock.now();
-    admission.record_cold_left("orders-1", Duration::ZERO, now, now);
+    admission.record_cold_left(TARGET, Duration::ZERO, now, now);
     permits.append(&mut start_all(&admission, limits, now).await);
     assert!(permits.len() >= 14, "{} requests started", permits.len());
     clock.advance(ms(1_000));
     let now = clock.now();
-    admission.record_cold_left("orders-1", ms(2_000), now, now);
+    admission.record_cold_left(TARGET, ms(2_000), now, now);
     let started = start_all(&admission, limits, now).await.len();
     assert!(
         started <= 4,
@@ -377,26 +364,8 @@
 
 /// Starts requests until no further one may start.
 async fn start_all(admission: &Arc<Admission>, limits: ColdStart, now: Instant) -> Vec<Permit> {
-    let request = AdmissionRequest {
-        target: "orders-1",
-        service: "orders",
-        rank: Rank {
-            external: true,
-            organisation: 0,
-            route: 0,
-        },
-        organisation: "alpha",
-        weight: 1,
-        deadline: now,
-        objective: None,
-        queue_limit: 64,
-        connections: 100,
-        cold_start: limits,
-        avoid_suspected: false,
-        floor: false,
-    };
     let mut permits = Vec::new();
-    while let Ok(permit) = admission.admit(&request, now).await {
+    while let Ok(permit) = admission.admit(&request(now, limits), now).await {
         permits.push(permit);
     }
     permits
--- a/tests/stated_limit.rs
+++ b/tests/stated_limit.rs
@@ -1,12 +1,14 @@
 //! Limits of requests a second that targets state in their responses.
 
+mod one_target;
+
 use std::{
     sync::Arc,
     time::{Duration, Instant},
 };
 
 use marjoramdyke::{
-    clock::{Clock, ManualClock},
+    clock::Clock,
     policy::{
         eject::OtherTargets,
         limit::ExchangeResult,
@@ -14,80 +16,34 @@
         queue::Rank,
         stated_limit::{StatedLimit, StatedRate},
     },
-    proxy::{Admission, AdmissionRequest, Announcement, Code, Permit},
+    proxy::{Admission, Code, Permit},
 };
+use one_target::{RANK, TARGET, UNPACED, admission, request};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use tokio::{
     task::{JoinHandle, yield_now},
     time::timeout,
 };
 
-const TARGET: &str = "orders-1";
-
-const RANK: Rank = Rank {
-    external: true,
-    organisation: 0,
-    route: 0,
-};
-
 fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
 }
 
-fn request(deadline: Instant) -> AdmissionRequest<'static> {
-    AdmissionRequest {
-        target: TARGET,
-        service: "orders",
-        rank: RANK,
-        organisation: "alpha",
-        weight: 1,
-        deadline,
-        objective: None,
-        queue_limit: 64,
-        connections: 100,
-        cold_start: ColdStart::default(),
-        avoid_suspected: false,
-        floor: false,
-    }
-}
-
-/// Creates admission with one target that has 15 slots.
-fn admission() -> (Arc<ManualClock>, Arc<Admission>) {
-    let clock = Arc::new(ManualClock::new());
-    let admission = Arc::new(Admission::new(Arc::clone(&clock) as Arc<dyn Clock>));
-    let announcement = Announcement {
-        id: TARGET.to_owned(),
-        service: "orders".to_owned(),
-        address: "127.0.0.1:1".to_owned(),
-        slots: 15,
-        cold_left: Duration::ZERO,
-        leaving: false,
-        started_ms: 1_000,
-        sequence: 1,
-        lease: ms(3_600_000),
-    };
-    assert!(admission.apply_announcement(announcement, clock.now()));
-    (clock, admission)
-}
-
 /// Requests admission without waiting, with a pace that doesn't hold requests back.
 async fn admit(admission: &Arc<Admission>, now: Instant) -> Result<Permit, Code> {
-    let request = AdmissionRequest {
-        cold_start: ColdStart {
-            rate: 1_000.0,
-            burst: 1_000.0,
-            duration: ms(3_000),
-        },
-        ..request(now)
-    };
-    admission.admit(&request, now).await
+    admission.admit(&request(now, UNPACED), now).await
 }
 
 /// Starts four requests that wait at the target for up to five seconds.
 async fn start_waiting(admission: &Arc<Admission>, now: Instant) -> Vec<JoinHandle<Option<Code>>> {
     let start = |_| {
         let admission = Arc::clone(admission);
-        tokio::spawn(async move { admission.admit(&request(now + ms(5_000)), now).await.err() })
+        tokio::spawn(async move {
+            admission
+                .admit(&request(now + ms(5_000), ColdStart::default()), now)
+                .await
+                .err()
+        })
     };
     let waiting = (0..4).map(start).collect();
     yield_now().await;
@@ -147,7 +103,7 @@
 /// the target.
 #[tokio::test]
 async fn target_that_has_not_responded_gets_few_requests_at_once() {
-    let (clock, admission) = admission();
+    let (clock, admission) = admission(15);
     let mut permits = Vec::new();
     for _ in 0..20 {
         clock.advance(ms(100));
@@ -161,7 +117,7 @@
 
 #[tokio::test]
 async fn earlier_request_without_limit_does_not_end_limit() {
-    let (clock, admission) = admission();
+    let (clock, admission) = admission(15);
     let sent = clock.now();
     clock.advance(ms(1_000));
     let now = clock.now();
@@ -175,12 +131,14 @@
 
 #[tokio::test]
 async fn request_that_limit_makes_wait_too_long_is_refused_at_once() {
-    let (clock, admission) = admission();
+    let (clock, admission) = admission(15);
     let now = clock.now();
     admission.apply_stated_rate(TARGET, StatedRate::Limited(2.0), now, now);
     let waiting = start_waiting(&admission, now).await;
     assert_eq!(admission.expected_wait(TARGET, RANK), ms(2_500));
-    let refused = admission.admit(&request(now + ms(2_000)), now).await;
+    let refused = admission
+        .admit(&request(now + ms(2_000), ColdStart::default()), now)
+        .await;
     assert_eq!(refused.err(), Some(Code::Overloaded));
     let urgent = Rank {
         external: false,
@@ -195,7 +153,7 @@
 /// Otherwise they would wait for a target that can no longer start them in time.
 #[tokio::test]
 async fn waiting_requests_are_cancelled_when_limit_falls_below_half() {
-    let (clock, admission) = admission();
+    let (clock, admission) = admission(15);
     let now = clock.now();
     admission.apply_stated_rate(TARGET, StatedRate::Limited(2.0), now, now);
     let waiting = start_waiting(&admission, now).await;
@@ -216,7 +174,7 @@
 /// Ingress nodes choose by slots and load: a limited target runs few requests and would appear idle.
 #[tokio::test]
 async fn limited_target_is_reported_as_full_and_with_fewer_slots() {
-    let (clock, admission) = admission();
+    let (clock, admission) = admission(15);
     let now = clock.now();
     let permit = admit(&admission, now).await.unwrap();
     let others = OtherTargets {
--- a/tests/worst_load.rs
+++ b/tests/worst_load.rs
@@ -1,6 +1,8 @@
 //! Decisions under the worst load: which waiting request starts next, and which request is refused at once since
 //! it would wait in vain. All runs are in virtual time.
 
+mod one_target;
+
 use std::{
     sync::Arc,
     time::{Duration, Instant},
@@ -13,12 +15,12 @@
         eject::OtherTargets,
         forecast::SlotTime,
         limit::ExchangeResult,
-        pace::ColdStart,
-        queue::{Rank, RankedQueue, StartLimits},
+        queue::{RankedQueue, StartLimits},
         suspicion::LatencyClass,
     },
-    proxy::{Admission, AdmissionRequest, Announcement, Code, FailureTest, Permit},
+    proxy::{Admission, Code, FailureTest, Permit},
 };
+use one_target::{RANK, TARGET, UNPACED, admission, request};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use tokio::{task::JoinHandle, task::yield_now};
 
@@ -35,12 +37,6 @@
 const BURST: Duration = Duration::from_secs(8);
 const BURST_LOAD: f64 = 1.7;
 
-const RANK: Rank = Rank {
-    external: true,
-    organisation: 0,
-    route: 0,
-};
-
 fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
 }
@@ -133,50 +129,10 @@
     );
 }
 
-fn request(deadline: Instant) -> AdmissionRequest<'static> {
-    AdmissionRequest {
-        target: "orders-1",
-        service: "orders",
-        rank: RANK,
-        organisation: "alpha",
-        weight: 1,
-        deadline,
-        objective: None,
-        queue_limit: 64,
-        connections: 100,
-        cold_start: ColdStart {
-            rate: 1_000.0,
-            burst: 1_000.0,
-            duration: ms(3_000),
-        },
-        avoid_suspected: false,
-        floor: false,
-    }
-}
-
-/// Creates admission with a target of four slots.
-fn admission() -> (Arc<ManualClock>, Arc<Admission>) {
-    let clock = Arc::new(ManualClock::new());
-    let admission = Arc::new(Admission::new(Arc::clone(&clock) as Arc<dyn Clock>));
-    let announcement = Announcement {
-        id: "orders-1".to_owned(),
-        service: "orders".to_owned(),
-        address: "127.0.0.1:1".to_owned(),
-        slots: 4,
-        cold_left: Duration::ZERO,
-        leaving: false,
-        started_ms: 1_000,
-        sequence: 1,
-        lease: ms(3_600_000),
-    };
-    assert!(admission.apply_announcement(announcement, clock.now()));
-    (clock, admission)
-}
-
 /// Runs a request for [`WORK`].
 async fn run_request(clock: &ManualClock, admission: &Arc<Admission>) {
     let now = clock.now();
-    let permit = admission.admit(&request(now), now).await.unwrap();
+    let permit = admission.admit(&request(now, UNPACED), now).await.unwrap();
     let class = LatencyClass {
         objective: 2_000,
         idempotent: true,
@@ -192,30 +148,34 @@
 
 fn start_waiting(admission: &Arc<Admission>, now: Instant) -> JoinHandle<Result<Permit, Code>> {
     let admission = Arc::clone(admission);
-    tokio::spawn(async move { admission.admit(&request(now + ms(60_000)), now).await })
+    tokio::spawn(async move {
+        admission
+            .admit(&request(now + ms(60_000), UNPACED), now)
+            .await
+    })
 }
 
 #[tokio::test]
 async fn request_that_would_wait_in_vain_is_refused_at_once() {
-    let (clock, admission) = admission();
+    let (clock, admission) = admission(4);
     for _ in 0..10 {
         run_request(&clock, &admission).await;
     }
     let now = clock.now();
     let mut permits = Vec::new();
     for _ in 0..SLOTS {
-        permits.push(admission.admit(&request(now), now).await.unwrap());
+        permits.push(admission.admit(&request(now, UNPACED), now).await.unwrap());
     }
     let waiting: Vec<_> = (0..12).map(|_| start_waiting(&admission, now)).collect();
     yield_now().await;
     // Twelve requests ahead take three rounds of work, 1.3 s with the one that frees the slot.
-    assert_eq!(admission.expected_wait("orders-1", RANK), ms(1_300));
-    let patient = request(now + ms(1_400));
+    assert_eq!(admission.expected_wait(TARGET, RANK), ms(1_300));
+    let patient = request(now + ms(1_400), UNPACED);
     assert!(
         admission.admit(&patient, now).now_or_never().is_none(),
         "a request that may wait long enough is queued"
     );
-    let impatient = request(now + ms(1_200));
+    let impatient = request(now + ms(1_200), UNPACED);
     let refused = admission.admit(&impatient, now).now_or_never();
     let refused = refused.expect("the request waits in vain");
     assert_eq!(refused.err(), Some(Code::Overloaded));
