--- a/review/harness/backend.rs
+++ b/review/harness/backend.rs
@@ -62,7 +62,13 @@
 }
 
 impl Backend {
-    pub fn start(id: &str, ip: &str, service: &str, zone: &str, work_ms: u64) -> io::Result<Arc<Self>> {
+    pub fn start(
+        id: &str,
+        ip: &str,
+        service: &str,
+        zone: &str,
+        work_ms: u64,
+    ) -> io::Result<Arc<Self>> {
         let since_epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
         let backend = Arc::new(Self {
             id: id.into(),
@@ -118,7 +124,10 @@
     }
 
     fn cold_left(&self) -> Duration {
-        self.cold_until.lock().unwrap().saturating_duration_since(Instant::now())
+        self.cold_until
+            .lock()
+            .unwrap()
+            .saturating_duration_since(Instant::now())
     }
 
     /// The body of the next heartbeat.
@@ -138,7 +147,13 @@
             ("Host", self.admin.clone()),
             ("Content-Type", "application/json".to_owned()),
         ];
-        let answer = call(&self.admin, &first, &headers, body.as_bytes(), Duration::from_secs(1))?;
+        let answer = call(
+            &self.admin,
+            &first,
+            &headers,
+            body.as_bytes(),
+            Duration::from_secs(1),
+        )?;
         Ok(answer.word(1).to_owned())
     }
 
@@ -215,9 +230,9 @@
             });
             runs.len() - 1
         };
-        let work_ms = match request.word(1).starts_with("/brief/") {
-            true => BRIEF_MS,
-            false => self.work_ms.load(SeqCst),
+        let work_ms = match request.word(1) {
+            path if path.starts_with("/brief/") => BRIEF_MS,
+            _ => self.work_ms.load(SeqCst),
         };
         let slower = if self.cold_left().is_zero() { 1 } else { 2 };
         let until = Instant::now() + Duration::from_millis(work_ms) * slower;
--- a/review/harness/client.rs
+++ b/review/harness/client.rs
@@ -54,9 +54,18 @@
                 ("Deadline-Ms", deadline_ms.to_string()),
                 ("Key", "a-key-of-alpha".to_owned()),
             ];
-            let answer = call(&node, &first, &headers, body, Duration::from_millis(deadline_ms + 500));
+            let answer = call(
+                &node,
+                &first,
+                &headers,
+                body,
+                Duration::from_millis(deadline_ms + 500),
+            );
             let (text, stamped) = match &answer {
-                Ok(answer) => (answer.word(1).to_owned(), !answer.header("server-stamp").is_empty()),
+                Ok(answer) => (
+                    answer.word(1).to_owned(),
+                    !answer.header("server-stamp").is_empty(),
+                ),
                 Err(error) => (format!("no answer: {error}"), false),
             };
             let mut log = log.lock().unwrap();
@@ -66,13 +75,26 @@
     }
 
     /// Sends `count` requests at even intervals over `span`, to the nodes in turn.
-    pub fn send_evenly(&self, nodes: &[String], method: &str, prefix: &str, deadline_ms: u64, count: u32, span: Duration) -> Vec<JoinHandle<()>> {
+    pub fn send_evenly(
+        &self,
+        nodes: &[String],
+        method: &str,
+        prefix: &str,
+        deadline_ms: u64,
+        count: u32,
+        span: Duration,
+    ) -> Vec<JoinHandle<()>> {
         let started = Instant::now();
         let mut threads = Vec::new();
         for i in 0..count {
             let due = started + span * i / count;
             thread::sleep(due.saturating_duration_since(Instant::now()));
-            threads.push(self.send(&nodes[i as usize % nodes.len()], method, prefix, deadline_ms));
+            threads.push(self.send(
+                &nodes[i as usize % nodes.len()],
+                method,
+                prefix,
+                deadline_ms,
+            ));
         }
         threads
     }
--- a/review/harness/fleet.rs
+++ b/review/harness/fleet.rs
@@ -38,7 +38,10 @@
 
 impl Node {
     pub fn spawn(&mut self) -> io::Result<()> {
-        let log = OpenOptions::new().create(true).append(true).open(&self.log)?;
+        let log = OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(&self.log)?;
         let mut words = self.command.split(' ');
         let child = Command::new(words.next().unwrap_or(""))
             .args(words)
@@ -49,7 +52,10 @@
             .stderr(log)
             .spawn()?;
         // The script ends what is listed here, whatever happens to this program.
-        let mut pids = OpenOptions::new().create(true).append(true).open(&self.pids)?;
+        let mut pids = OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(&self.pids)?;
         writeln!(pids, "{}", child.id())?;
         self.child = Some(child);
         Ok(())
@@ -60,7 +66,9 @@
         if pid == 0 {
             return Err(io::Error::other("the node is not running"));
         }
-        Command::new("kill").args([&format!("-{name}"), &pid.to_string()]).status()?;
+        Command::new("kill")
+            .args([&format!("-{name}"), &pid.to_string()])
+            .status()?;
         Ok(())
     }
 
@@ -82,7 +90,13 @@
     pub fn is_ready(&self) -> bool {
         let address = format!("{}:8546", self.ip);
         let host = [("Host", address.clone())];
-        let answer = call(&address, "GET /v1/readyz HTTP/1.1", &host, b"", Duration::from_secs(1));
+        let answer = call(
+            &address,
+            "GET /v1/readyz HTTP/1.1",
+            &host,
+            b"",
+            Duration::from_secs(1),
+        );
         answer.is_ok_and(|a| a.word(1) == "200")
     }
 
@@ -119,15 +133,24 @@
 
 impl Fleet {
     /// Starts a store, `count` nodes over three zones, each with a backend, and waits until all serve.
-    pub fn start(folder: &Path, count: usize, work_ms: u64, configuration: &str) -> io::Result<Self> {
+    pub fn start(
+        folder: &Path,
+        count: usize,
+        work_ms: u64,
+        configuration: &str,
+    ) -> io::Result<Self> {
         let subnet = free_subnet(count)?;
         let store = Store::start(&format!("{subnet}.250:8545"))?;
         store.put("op", "config", configuration);
         let deploy = fs::read_to_string("deploy/system.toml")?;
         let template = fs::read_to_string("deploy/node.jsonc")?;
         let quoted = |name: &str| {
-            let rest = deploy.split_once(&format!("{name} = \"")).map(|(_, rest)| rest);
-            rest.and_then(|r| r.split('"').next()).unwrap_or("").to_owned()
+            let rest = deploy
+                .split_once(&format!("{name} = \""))
+                .map(|(_, rest)| rest);
+            rest.and_then(|r| r.split('"').next())
+                .unwrap_or("")
+                .to_owned()
         };
         let mut fleet = Self {
             store,
@@ -152,7 +175,9 @@
             node.spawn()?;
             fleet.nodes.push(node);
             let id = format!("i-{i}");
-            fleet.backends.push(Backend::start(&id, &ip, SERVICE, zone, work_ms)?);
+            fleet
+                .backends
+                .push(Backend::start(&id, &ip, SERVICE, zone, work_ms)?);
         }
         let until = Instant::now() + Duration::from_secs(20);
         while !fleet.nodes.iter().all(Node::is_ready) {
@@ -175,7 +200,9 @@
 /// Fills in the template as the platform does.
 fn render(template: &str, ip: &str, zone: &str, subnet: &str) -> String {
     let zones: Vec<String> = ZONES.iter().map(|z| format!("\"{z}\"")).collect();
-    let (start, rest) = template.split_once("{{#zones}}").unwrap_or((template, "{{/zones}}"));
+    let (start, rest) = template
+        .split_once("{{#zones}}")
+        .unwrap_or((template, "{{/zones}}"));
     let (_, end) = rest.split_once("{{/zones}}").unwrap_or(("", rest));
     let text = format!("{start}{}{end}", zones.join(","));
     let fields = [
@@ -209,9 +236,12 @@
     for attempt in 0..200 {
         let number = id() as usize + attempt * 7;
         let subnet = format!("127.{}.{}", 20 + number / 250 % 200, 1 + number % 250);
-        let hosts = (10..10 + count).flat_map(|h| [7000, 7001, 8540, 8546, 8547, 8548].map(|p| (h, p)));
+        let hosts =
+            (10..10 + count).flat_map(|h| [7000, 7001, 8540, 8546, 8547, 8548].map(|p| (h, p)));
         let mut addresses = hosts.chain([(250, 8545)]);
-        if addresses.all(|(host, port)| TcpListener::bind(format!("{subnet}.{host}:{port}")).is_ok()) {
+        if addresses
+            .all(|(host, port)| TcpListener::bind(format!("{subnet}.{host}:{port}")).is_ok())
+        {
             return Ok(subnet);
         }
     }
--- a/review/harness/store.rs
+++ b/review/harness/store.rs
@@ -40,7 +40,8 @@
         rows.version += 1;
         let version = rows.version;
         let row = (encode(value.as_bytes()), version);
-        rows.rows.insert((table.into(), String::new(), key.into()), row);
+        rows.rows
+            .insert((table.into(), String::new(), key.into()), row);
     }
 
     fn serve_connection(&self, stream: TcpStream) -> io::Result<()> {
@@ -55,7 +56,12 @@
                 _ => ("404 Not Found", "{}".to_owned()),
             };
             let json = [("Content-Type", "application/json".to_owned())];
-            write_message(&mut out, &format!("HTTP/1.1 {status}"), &json, body.as_bytes())?;
+            write_message(
+                &mut out,
+                &format!("HTTP/1.1 {status}"),
+                &json,
+                body.as_bytes(),
+            )?;
         }
         Ok(())
     }
@@ -100,7 +106,8 @@
         rows.version += 1;
         let version = rows.version;
         for row in objects(body, "puts") {
-            rows.rows.insert(key_of(&row), (text(&row, "value"), version));
+            rows.rows
+                .insert(key_of(&row), (text(&row, "value"), version));
         }
         for row in objects(body, "deletes") {
             rows.rows.remove(&key_of(&row));
@@ -119,7 +126,11 @@
         return Vec::new();
     };
     let inner = rest.split(']').next().unwrap_or("");
-    inner.split('}').filter(|o| o.contains('{')).map(str::to_owned).collect()
+    inner
+        .split('}')
+        .filter(|o| o.contains('{'))
+        .map(str::to_owned)
+        .collect()
 }
 
 /// Returns the text of a field that holds a string or a number.
--- a/review/harness/web.rs
+++ b/review/harness/web.rs
@@ -54,7 +54,10 @@
             .headers
             .insert(name.to_ascii_lowercase(), value.trim().to_owned());
     }
-    if message.header("transfer-encoding").eq_ignore_ascii_case("chunked") {
+    if message
+        .header("transfer-encoding")
+        .eq_ignore_ascii_case("chunked")
+    {
         loop {
             line.clear();
             reader.read_line(&mut line)?;
