--- a/src/policy/share.rs
+++ b/src/policy/share.rs
@@ -31,6 +31,8 @@
 /// One share of an organisation's quota, as a token bucket.
 #[derive(Debug, Clone)]
 pub struct Share {
+    /// The size at the last use.
+    size: ShareSize,
     tokens: f64,
     updated: Instant,
 }
@@ -62,6 +64,7 @@
     #[must_use]
     pub fn new(size: ShareSize, now: Instant) -> Self {
         Self {
+            size,
             tokens: size.burst * INITIAL_FILL,
             updated: now,
         }
@@ -69,13 +72,20 @@
 
     /// Creates an empty share that is refilled from the instant `from` on.
     #[must_use]
-    pub fn empty(from: Instant) -> Self {
+    pub fn empty(size: ShareSize, from: Instant) -> Self {
         Self {
+            size,
             tokens: 0.0,
             updated: from,
         }
     }
 
+    /// Sets the size, and returns the previous one if it was another.
+    pub fn resize(&mut self, size: ShareSize) -> Option<ShareSize> {
+        let previous = std::mem::replace(&mut self.size, size);
+        (previous != size).then_some(previous)
+    }
+
     fn refill(&mut self, size: ShareSize, now: Instant) {
         let passed = now.saturating_duration_since(self.updated).as_secs_f64();
         self.updated = self.updated.max(now);
--- a/src/proxy/admission.rs
+++ b/src/proxy/admission.rs
@@ -120,6 +120,12 @@
         applied
     }
 
+    /// Returns whether a target has announced itself and its state is retained.
+    #[must_use]
+    pub fn is_known(&self, target: &str) -> bool {
+        self.lock().contains_key(target)
+    }
+
     /// Marks a target as leaving; requests that wait for it are cancelled, so that they look for
     /// another target. Returns whether it was known and not leaving before.
     pub fn withdraw(&self, target: &str, now: Instant) -> bool {
--- a/src/proxy/quota.rs
+++ b/src/proxy/quota.rs
@@ -95,9 +95,14 @@
         shares
             .entry(organisation.name.clone())
             .or_insert_with(|| match core.discovering(now) {
-                true => Share::empty(now.max(core.started() + STARTUP_DELAY)),
+                true => Share::empty(size, now.max(core.started() + STARTUP_DELAY)),
                 false => Share::new(size, since.unwrap_or(now)),
             });
+    if let Some(previous) = share.resize(size) {
+        let (name, held) = (organisation.name.as_str(), share.remaining());
+        let (burst, previous) = (size.burst, previous.burst);
+        spdlog::info!("size of a quota share changed", kv: { organisation = name, held, burst, previous });
+    }
     operation(share, size, now)
 }
 
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -198,7 +198,7 @@
     };
     let size = ShareSize::of(30.0, 30, &excess, 3);
     let start = Instant::now();
-    let mut share = Share::empty(start + ms(1_000));
+    let mut share = Share::empty(size, start + ms(1_000));
     assert!(!share.try_draw(size, start + ms(900)));
     assert_eq!(share.transfer_out(size, 3, start + ms(900)), 0);
     assert!(share.try_draw(size, start + ms(1_200)));
