A target that has left is not used again when an earlier heartbeat arrives late

Also found: the same without a restart when the target's lease had expired, when the late heartbeat names another address, and when the departure was acknowledged by the node's earlier incarnation.

Cause: what a node knew of a departure was the state of the target, which is gone with the target's lease and with the process. Evidence: 'target was withdrawn' with known=false and then 'target has announced itself' with the sequence of the late heartbeat. Ruled out: a heartbeat taken for one of the next run (its start is that of the departed run), and stale records at other nodes (the node announced the target anew).

A departure is now a record of its own, kept for 60 s: all runs that started up to a time have left. Nodes gossip their departures, and a node that starts asks for those of its earlier incarnations before others learn of its targets. So no late heartbeat can arrive at a node that does not know the departure, unless all that held it are gone.

--- a/examples/slopes.rs
+++ b/examples/slopes.rs
@@ -92,6 +92,7 @@
         leaving: false,
         targets: (0..TARGETS_PER_NODE).map(target).collect(),
         kept: Vec::new(),
+        departed: Vec::new(),
     }
 }
 
@@ -153,7 +154,7 @@
     let sender = &mut nodes[from];
     let pull = sender
         .gossip
-        .create_pull(&sender.own_record, &sender.members, now);
+        .create_pull(&sender.own_record, &sender.members, false, now);
     let pull_bytes = encode(&pull).len();
     let pull = into_pull(pull);
     let receiver = &mut nodes[to];
--- a/src/fleet/codec.rs
+++ b/src/fleet/codec.rs
@@ -207,6 +207,10 @@
     /// The generation that the sender holds.
     #[prost(uint64, tag = "5")]
     pub generation: u64,
+    /// Whether the sender has started recently, and asks for the departures that its earlier incarnations
+    /// recorded.
+    #[prost(bool, tag = "6")]
+    pub recalls: bool,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct News {
@@ -253,6 +257,9 @@
     pub drains_at: u64,
     #[prost(string, repeated, tag = "17")]
     pub drained: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// Departures that earlier incarnations of the requesting node recorded, if it asked for them.
+    #[prost(message, repeated, tag = "18")]
+    pub departed: ::prost::alloc::vec::Vec<Departure>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Extra {
@@ -283,6 +290,18 @@
     /// Slices that the VM owns, as slice * partitions + partition.
     #[prost(uint32, repeated, tag = "9")]
     pub kept: ::prost::alloc::vec::Vec<u32>,
+    /// Targets of the VM that have left.
+    #[prost(message, repeated, tag = "10")]
+    pub departed: ::prost::alloc::vec::Vec<Departure>,
+}
+/// Departure states that all runs of a target that started up to a time have left.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Departure {
+    #[prost(string, tag = "1")]
+    pub target: ::prost::alloc::string::String,
+    /// In milliseconds since the Unix epoch, by the target's clock.
+    #[prost(uint64, tag = "2")]
+    pub last_start_ms: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct TargetRecord {
--- a/src/fleet/gossip.rs
+++ b/src/fleet/gossip.rs
@@ -11,7 +11,7 @@
 use crate::{
     fleet::{
         Membership,
-        codec::{Extra, News, Packet, Pull, Record, packet},
+        codec::{Departure, Extra, News, Packet, Pull, Record, packet},
     },
     policy::fresh::{Freshness, FreshnessReport},
 };
@@ -58,8 +58,15 @@
 }
 
 impl Gossip {
-    /// Creates a pull to be sent at `now`.
-    pub fn create_pull(&mut self, own: &Record, members: &Membership, now: Instant) -> Packet {
+    /// Creates a pull to be sent at `now`. `recalls` states whether it asks for the departures that earlier
+    /// incarnations of this node recorded.
+    pub fn create_pull(
+        &mut self,
+        own: &Record,
+        members: &Membership,
+        recalls: bool,
+        now: Instant,
+    ) -> Packet {
         self.pulls
             .retain(|_, sent_at| now < *sent_at + ANSWER_TIMEOUT);
         self.last_nonce += 1;
@@ -76,6 +83,7 @@
                 digests: members.digests().to_vec(),
                 sender: announce.then(|| own.clone()),
                 generation: own.generation,
+                recalls,
             })),
         }
     }
@@ -133,6 +141,14 @@
     }
 }
 
+/// Returns the departures that earlier incarnations of the sender of a pull recorded, if it asks for them.
+fn recalled_departures(pull: &Pull, members: &Membership) -> Vec<Departure> {
+    match (&pull.sender, pull.recalls) {
+        (Some(sender), true) => members.departures(&pull.from, sender.incarnation),
+        _ => Vec::new(),
+    }
+}
+
 /// Creates the answer to a pull, with the records that differ from the sender's.
 pub fn answer_pull(
     pull: &Pull,
@@ -159,9 +175,10 @@
         holders: fresh.holders(),
         differing: members.count_differing(&pull.digests),
         records: members.differing(&pull.digests, MAX_RECORD_BYTES),
-        // The node sets these two if it has a feed.
+        // The node sets the drains if it has a feed.
         drains_at: 0,
         drained: Vec::new(),
+        departed: recalled_departures(pull, members),
     };
     Packet {
         body: Some(packet::Body::News(news)),
--- a/src/fleet/membership.rs
+++ b/src/fleet/membership.rs
@@ -4,11 +4,17 @@
 
 use prost::Message;
 
-use crate::{fleet::codec::Record, hash::hash_of};
+use crate::{
+    fleet::codec::{Departure, Record},
+    hash::hash_of,
+};
 
 /// Number of buckets that records are distributed over by the hash of their address.
 pub const BUCKETS: usize = 32;
 
+/// Greatest number of departures that are retained for a VM.
+const MAX_RETAINED_DEPARTURES: usize = 8;
+
 /// All records, with a digest for each bucket so that only records of differing buckets are sent.
 #[derive(Debug, Clone, Default)]
 pub struct Membership {
@@ -16,6 +22,8 @@
     digests: [u32; BUCKETS],
     /// VMs in the order in which their records are sent next.
     rotation: VecDeque<String>,
+    /// Departures that earlier incarnations of VMs recorded, by VM.
+    departed: HashMap<String, Vec<Departure>>,
 }
 
 impl Membership {
@@ -45,8 +53,13 @@
         if old.is_some_and(|o| (record.incarnation, record.version) <= (o.incarnation, o.version)) {
             return false;
         }
-        match old {
-            Some(old) => self.toggle_stamp(&stamp_of(old)),
+        match self.records.remove(&record.vm) {
+            Some(old) => {
+                self.toggle_stamp(&stamp_of(&old));
+                if record.incarnation > old.incarnation {
+                    self.retain_departures(old);
+                }
+            }
             None => self.rotation.push_back(record.vm.clone()),
         }
         self.toggle_stamp(&stamp_of(record));
@@ -54,8 +67,30 @@
         true
     }
 
+    /// Retains the departures of a VM's record that one of its next incarnation replaces.
+    fn retain_departures(&mut self, old: Record) {
+        if old.departed.is_empty() {
+            return;
+        }
+        let retained = self.departed.entry(old.vm).or_default();
+        retained.retain(|r| old.departed.iter().all(|d| d.target != r.target));
+        retained.extend(old.departed);
+        let excess = retained.len().saturating_sub(MAX_RETAINED_DEPARTURES);
+        retained.drain(..excess);
+    }
+
+    /// Returns the departures that earlier incarnations of a VM recorded.
+    #[must_use]
+    pub fn departures(&self, vm: &str, incarnation: u64) -> Vec<Departure> {
+        let retained = self.departed.get(vm).cloned().unwrap_or_default();
+        let current = self.get(vm).filter(|r| r.incarnation != incarnation);
+        let current = current.map(|r| r.departed.clone()).unwrap_or_default();
+        retained.into_iter().chain(current).collect()
+    }
+
     /// Removes the record of a VM.
     pub fn remove(&mut self, vm: &str) {
+        self.departed.remove(vm);
         if let Some(record) = self.records.remove(vm) {
             self.toggle_stamp(&stamp_of(&record));
             self.rotation.retain(|name| name != vm);
--- a/src/node/gossip.rs
+++ b/src/node/gossip.rs
@@ -33,6 +33,9 @@
 const CATCH_UP_TIMEOUT: Duration = Duration::from_secs(2);
 const CATCH_UP_DELAY: Duration = Duration::from_secs(1);
 
+/// Number of nodes that a departure of a target is sent to at once.
+const DEPARTURE_PEERS: usize = 4;
+
 /// Largest datagram, in bytes.
 const MAX_DATAGRAM: usize = 65_535;
 
@@ -47,10 +50,12 @@
         let woken = timeout(PULL_INTERVAL.mul_f64(jitter), core.gossip_now.notified()).await;
         let now = core.clock.now();
         // With a feed, only the delegate and a node that is shutting down spread changes at once.
-        let mut peers = match (core.feed.is_some(), woken.is_ok()) {
+        let mut peers: Vec<SocketAddr> = match (core.feed.is_some(), woken.is_ok()) {
             (false, _) => choose_peer(&core).into_iter().collect(),
             (true, false) => choose_local_peer(&core).into_iter().collect(),
             (true, true) if core.shutting_down() || is_delegate(&core) => local_peers(&core),
+            // Other nodes have to hold a departure even if this one ends right after its acknowledgement.
+            (true, true) if core.take_new_departure() => some_local_peers(&core),
             (true, true) => Vec::new(),
         };
         let remote_due = woken.is_ok() || now >= last_remote + REMOTE_PULL_INTERVAL;
@@ -118,6 +123,12 @@
     local.iter().filter_map(|vm| vm.parse().ok()).collect()
 }
 
+fn some_local_peers(core: &Core) -> Vec<SocketAddr> {
+    let peers = local_peers(core);
+    let chosen = peers.choose_multiple(&mut rng(), DEPARTURE_PEERS);
+    chosen.copied().collect()
+}
+
 /// Returns whether this node is the delegate of its data centre.
 fn is_delegate(core: &Core) -> bool {
     let delegate = core.shared().delegate(&core.settings.data_centre);
@@ -166,7 +177,10 @@
     let Some(own) = shared.members.get(&core.address).cloned() else {
         return Vec::new();
     };
-    let packet = shared.gossip.create_pull(&own, &shared.members, now);
+    let recalls = core.recalls_departures(shared.freshness.started(), now);
+    let packet = shared
+        .gossip
+        .create_pull(&own, &shared.members, recalls, now);
     sign(core, &packet)
 }
 
@@ -290,12 +304,19 @@
 }
 
 fn apply_news(core: &Core, news: &News, now: Instant) {
+    if apply_shared_news(core, news, now) {
+        core.apply_recalled(&news.departed, now);
+    }
+}
+
+/// Applies an answer to a pull to the shared state, and returns whether it matched a waiting pull.
+fn apply_shared_news(core: &Core, news: &News, now: Instant) -> bool {
     let mut shared = core.shared();
     let shared = &mut *shared;
     let result = shared
         .gossip
         .apply_answer(news, &mut shared.members, &mut shared.freshness, now);
-    let Some(result) = result else { return };
+    let Some(result) = result else { return false };
     if core.feed.is_some() {
         let reading = Reading {
             revision: news.drains_at,
@@ -324,6 +345,7 @@
     if shared.dirty {
         core.render_now.notify_one();
     }
+    true
 }
 
 /// Records that a node announced a generation that is newer than the held one, and wakes the task that
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -37,7 +37,11 @@
     clock::{SharedClock, unix_micros},
     config::{Digest, Document, Index},
     feed::Feed,
-    fleet::{Links, Membership, codec::Record, gossip::Gossip},
+    fleet::{
+        Links, Membership,
+        codec::{Departure, Record},
+        gossip::Gossip,
+    },
     ops::Metrics,
     platform::Platform,
     policy::{fresh::Freshness, roster::quorum},
@@ -150,6 +154,10 @@
     /// Metrics.
     pub metrics: Metrics,
     shared: Mutex<Shared>,
+    /// Whether other nodes have been asked for the departures that earlier incarnations of this one recorded.
+    recalled: AtomicBool,
+    /// Whether a departure was recorded that has not been sent to other nodes at once yet.
+    new_departure: AtomicBool,
     shutting_down: AtomicBool,
     listening: AtomicBool,
     rejecting: AtomicBool,
@@ -217,6 +225,9 @@
             quota: Quota::default(),
             metrics: Metrics::new(),
             shared: Mutex::new(shared),
+            // Announcements through the fleet's own interface name no run, so that there is nothing to recall.
+            recalled: AtomicBool::new(feed.is_none()),
+            new_departure: AtomicBool::new(false),
             shutting_down: AtomicBool::new(false),
             listening: AtomicBool::new(false),
             rejecting: AtomicBool::new(false),
@@ -409,9 +420,48 @@
         shared.dirty = false;
     }
 
+    /// Returns whether this node still asks for the departures that its earlier incarnations recorded.
+    fn recalls_departures(&self, started: Instant, now: Instant) -> bool {
+        self.feed.is_some() && now < started + DISCOVERY_PERIOD
+    }
+
+    /// Returns whether targets may be used: no earlier incarnation of this node can have acknowledged the
+    /// departure of one without this incarnation having asked for it. A node that gets no answer from others uses
+    /// its targets nevertheless after `CONTACT_TIMEOUT`.
+    fn has_recalled(&self, now: Instant) -> bool {
+        self.recalled.load(Relaxed) || now >= self.started() + CONTACT_TIMEOUT
+    }
+
+    /// Applies the departures that another node returned from earlier incarnations of this one.
+    fn apply_recalled(&self, departed: &[Departure], now: Instant) {
+        let mut changed = !self.recalled.swap(true, Relaxed);
+        for departure in departed {
+            let (target, last_start) = (departure.target.as_str(), departure.last_start_ms);
+            if self.admission.has_departed(target, last_start, now) {
+                continue;
+            }
+            let was_used = self.admission.record_departure(target, last_start, now);
+            spdlog::info!("departure of a target recalled", kv: { target, last_start, was_used });
+            changed = true;
+        }
+        if changed {
+            self.update_record();
+        }
+    }
+
+    /// Returns whether a departure has been recorded since the last call.
+    fn take_new_departure(&self) -> bool {
+        self.new_departure.swap(false, Relaxed)
+    }
+
     /// Rebuilds this node's own record, and publishes it if it has changed.
     pub fn update_record(&self) {
-        let targets = self.admission.records(self.clock.now());
+        let now = self.clock.now();
+        let targets = match self.has_recalled(now) {
+            true => self.admission.records(now),
+            false => Vec::new(),
+        };
+        let departed = self.admission.departure_records(now);
         let owned = self.rates.owned_slices();
         let mut shared = self.shared();
         let previous = shared.members.get(&self.address);
@@ -426,6 +476,7 @@
             leaving: self.shutting_down(),
             targets,
             kept: owned,
+            departed,
         };
         // A new generation alone makes no new version: which VMs hold it is gossiped as one bit each.
         let unchanged = |previous: &Record| {
@@ -438,12 +489,18 @@
         if previous.is_some_and(unchanged) {
             return;
         }
+        let held = previous.map_or(&[][..], |p| &p.departed);
+        let departs = record.departed.iter().any(|d| !held.contains(d));
         record.version += 1;
         shared.members.merge(&record);
         shared.board.apply_record(&record);
         shared.dirty = true;
         drop(shared);
         self.render_now.notify_one();
+        if departs && self.feed.is_some() {
+            self.new_departure.store(true, Relaxed);
+            self.gossip_now.notify_one();
+        }
     }
 }
 
--- a/src/proxy/admission.rs
+++ b/src/proxy/admission.rs
@@ -12,9 +12,10 @@
 use tokio::{sync::oneshot, time::timeout};
 
 use crate::{
-    clock::SharedClock,
-    fleet::codec::TargetRecord,
+    clock::{SharedClock, unix_micros},
+    fleet::codec::{Departure, TargetRecord},
     policy::{
+        departures::Departures,
         eject::OtherTargets,
         limit::ExchangeResult,
         pace::{Answer, ColdStart},
@@ -36,6 +37,9 @@
 /// Shortest interval at which a waiting request checks whether the pace of its target allows the next start.
 const PACE_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Greatest number of departures that the record of a node carries; a datagram has room for few.
+const MAX_RECORDED_DEPARTURES: usize = 8;
+
 /// Targets by id.
 type Targets = HashMap<String, ManagedTarget>;
 
@@ -45,6 +49,8 @@
     next_ticket: AtomicU64,
     closed: AtomicBool,
     targets: Mutex<Targets>,
+    /// Targets that have left; locked only while `targets` is.
+    departures: Mutex<Departures>,
 }
 
 /// The right to run one request at a target; dropping it admits the next waiting one.
@@ -73,6 +79,7 @@
             next_ticket: AtomicU64::new(0),
             closed: AtomicBool::new(false),
             targets: Mutex::default(),
+            departures: Mutex::default(),
         }
     }
 
@@ -80,12 +87,22 @@
         self.targets.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn departures(&self) -> MutexGuard<'_, Departures> {
+        self.departures
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Applies an announcement, which also renews the target's lease, and returns whether it was applied.
-    /// It is ignored if it is older than the last one of its target, or if a target that was started
-    /// later has announced the same address.
+    /// It is ignored if it is older than the last one of its target, if its run of the target has left, or if a
+    /// target that was started later has announced the same address.
     pub fn apply_announcement(&self, announcement: Announcement, now: Instant) -> bool {
         let mut targets = self.lock();
         let mut waiters = Vec::new();
+        let Announcement { id, started_ms, .. } = &announcement;
+        if !announcement.leaving && self.departures().includes(id, *started_ms, now) {
+            return false;
+        }
         // Two targets can't share an address; it belongs to the one that was started last.
         let same_address = |t: &ManagedTarget| {
             t.announcement.address == announcement.address && t.announcement.id != announcement.id
@@ -100,6 +117,7 @@
             target.lease_until = now;
             waiters.extend(target.take_waiters(now));
         }
+        let departs = announcement.leaving.then(|| announcement.clone());
         let applied = match targets.get_mut(&announcement.id) {
             Some(target) if target.announcement.address == announcement.address => {
                 let applied = target.apply_announcement(announcement, now);
@@ -116,6 +134,10 @@
                 true
             }
         };
+        if let Some(departs) = departs.filter(|_| applied) {
+            self.departures()
+                .record(&departs.id, departs.started_ms, now);
+        }
         cancel_waiters(targets, waiters);
         applied
     }
@@ -126,19 +148,60 @@
         self.lock().contains_key(target)
     }
 
-    /// Marks a target as leaving; requests that wait for it are cancelled, so that they look for
+    /// Records that a target leaves; requests that wait for it are cancelled, so that they look for
     /// another target. Returns whether it was known and not leaving before.
+    ///
+    /// The start of a target that is not known is not known either. All its runs up to now have left, since its
+    /// next one starts later.
     pub fn withdraw(&self, target: &str, now: Instant) -> bool {
+        let known = self.lock().get(target).map(|t| t.announcement.started_ms);
+        let last_start = known.unwrap_or_else(|| unix_micros(self.clock.wall()) / 1_000);
+        self.record_departure(target, last_start, now)
+    }
+
+    /// Records that all runs of a target that started up to `last_start`, in milliseconds of its clock, have left.
+    /// Returns whether the target is of such a run and was not leaving before.
+    pub fn record_departure(&self, target: &str, last_start: u64, now: Instant) -> bool {
         let mut targets = self.lock();
+        self.departures().record(target, last_start, now);
         let Some(target) = targets.get_mut(target) else {
             return false;
         };
+        if target.announcement.started_ms > last_start {
+            return false;
+        }
         let was_leaving = std::mem::replace(&mut target.announcement.leaving, true);
         let waiters = target.take_waiters(now);
         cancel_waiters(targets, waiters);
         !was_leaving
     }
 
+    /// Returns whether a run of a target that started at `started` has left.
+    #[must_use]
+    pub fn has_departed(&self, target: &str, started: u64, now: Instant) -> bool {
+        let _targets = self.lock();
+        self.departures().includes(target, started, now)
+    }
+
+    /// Returns the newest departures of runs whose start is known, for the record of this node.
+    #[must_use]
+    pub fn departure_records(&self, now: Instant) -> Vec<Departure> {
+        let _targets = self.lock();
+        let departures = self.departures();
+        let mut records: Vec<Departure> = departures
+            .newest(now)
+            .into_iter()
+            .filter(|(_, last_start)| *last_start > 0)
+            .take(MAX_RECORDED_DEPARTURES)
+            .map(|(target, last_start_ms)| Departure {
+                target: target.to_owned(),
+                last_start_ms,
+            })
+            .collect();
+        records.sort_by(|a, b| a.target.cmp(&b.target));
+        records
+    }
+
     /// Stops admission when the node shuts down: waiting requests are cancelled, so that they look
     /// for another target, and no further ones are admitted.
     pub fn close(&self, now: Instant) {
@@ -151,13 +214,12 @@
         cancel_waiters(targets, waiters);
     }
 
-    /// Removes targets whose lease has expired and that run no requests; targets that were leaving are
-    /// retained for longer.
+    /// Removes targets whose lease has expired and that run no requests.
     ///
     /// Returns the probes that are due.
     pub fn sweep(&self, now: Instant) -> Vec<Probe> {
         let mut targets = self.lock();
-        targets.retain(|_, t| t.is_retained(now) || t.running > 0);
+        targets.retain(|_, t| now < t.lease_until || t.running > 0);
         targets
             .values_mut()
             .filter_map(|t| t.take_probe(now))
--- a/src/proxy/target_state.rs
+++ b/src/proxy/target_state.rs
@@ -38,10 +38,6 @@
 /// deployments limit them.
 const INQUIRY_INTERVAL: Duration = Duration::from_millis(500);
 
-/// How long the state of a leaving target is retained after its lease, since earlier announcements may
-/// arrive this late.
-const LEAVING_RETENTION: Duration = Duration::from_secs(60);
-
 /// What a target announces about itself.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Announcement {
@@ -197,25 +193,10 @@
         }
         self.lease_until = now + announcement.lease;
         self.cold_until = now + announcement.cold_left;
-        // A target that is leaving doesn't return within the same run.
-        let leaving = announcement.leaving || self.announcement.leaving;
-        self.announcement = Announcement {
-            leaving,
-            ..announcement
-        };
+        self.announcement = announcement;
         true
     }
 
-    /// Returns whether the state of the target is retained. That of a leaving target is retained for
-    /// longer, since older announcements may still arrive.
-    pub(super) fn is_retained(&self, now: Instant) -> bool {
-        let retention = match self.announcement.leaving {
-            true => LEAVING_RETENTION,
-            false => Duration::ZERO,
-        };
-        now < self.lease_until + retention
-    }
-
     /// Applies the connection limit and the cold start that the target's service is configured with.
     pub(super) fn configure(&mut self, connections: usize, cold_start: ColdStart) {
         self.connections = connections.max(1);
