Tokens of a quota that were filled under a higher limit don't outlive it

Cause: a share that held more tokens than its burst kept them, so that tokens transferred from another share were not lost. Evidence: at the first draw after the change each owner logs 'size of a quota share changed' with 34 tokens held and a burst of 3.3. Ruled out: owners with the old generation (they applied the new size at once), grants beside the owners, and transfers that multiply tokens (the tokens held account for the requests that ran).

A refill leaves no more than the burst; transferred tokens are added and drawn on in one step after it, so that none is lost before it is used. The same bound now holds when a node turns from the owner of a share into a stand-in with a quarter of it.

--- a/src/policy/share.rs
+++ b/src/policy/share.rs
@@ -89,8 +89,8 @@
     fn refill(&mut self, size: ShareSize, now: Instant) {
         let passed = now.saturating_duration_since(self.updated).as_secs_f64();
         self.updated = self.updated.max(now);
-        let capacity = self.tokens.max(size.burst);
-        self.tokens = (self.tokens + passed * size.rate).min(capacity);
+        // Tokens that were filled under a greater burst are lost.
+        self.tokens = (self.tokens + passed * size.rate).min(size.burst);
     }
 
     /// Removes up to `max` tokens for another data centre's share, and returns their number. The last
@@ -115,14 +115,16 @@
         self.tokens
     }
 
-    /// Adds tokens that another data centre's share transferred.
-    pub fn transfer_in(&mut self, transferred: u32) {
-        self.tokens += f64::from(transferred);
-    }
-
     /// Spends a token for one request if there is one, and returns whether the request is granted.
     pub fn try_draw(&mut self, size: ShareSize, now: Instant) -> bool {
+        self.draw_with(0, size, now)
+    }
+
+    /// Adds tokens that another data centre's share transferred, and then spends a token for one request if there
+    /// is one. Returns whether the request is granted.
+    pub fn draw_with(&mut self, transferred: u32, size: ShareSize, now: Instant) -> bool {
         self.refill(size, now);
+        self.tokens += f64::from(transferred);
         let granted = self.tokens >= 1.0;
         if granted {
             self.tokens -= 1.0;
--- a/src/proxy/quota.rs
+++ b/src/proxy/quota.rs
@@ -262,8 +262,7 @@
             count,
             since,
             |share, size, now| {
-                share.transfer_in(transferred);
-                let granted = share.try_draw(size, now);
+                let granted = share.draw_with(transferred, size, now);
                 if !granted {
                     let (name, left) = (organisation.name.as_str(), share.remaining());
                     let (rate, burst) = (size.rate, size.burst);
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -135,27 +135,49 @@
     assert!(!suspicion.is_excluded(now + ms(6_000)));
 }
 
+/// What the users' deployments tolerate beyond a quota.
+const EXCESS: Excess = Excess {
+    requests: 20.0,
+    fraction: 0.1,
+    window: 5.0,
+};
+
+/// A quota with the time in milliseconds from which it applies.
+#[derive(Clone, Copy)]
+struct Quota {
+    from: u64,
+    rate: f64,
+    burst: u32,
+}
+
+impl Quota {
+    fn share_size(&self) -> ShareSize {
+        ShareSize::of(self.rate, self.burst, &EXCESS, 3)
+    }
+
+    /// Returns the number of requests in a window that the deployments allow.
+    fn bound(&self) -> f64 {
+        (self.rate * EXCESS.window + f64::from(self.burst)) * (1.0 + EXCESS.fraction)
+            + EXCESS.requests
+    }
+}
+
 /// Draws tokens of a quota with three shares, where a share that is used up gets tokens of the
-/// others. `requests` holds the time in milliseconds and the share of each request; returns the
-/// times of those that were granted.
-fn granted_times(rate: f64, burst: u32, requests: &[(u64, usize)]) -> Vec<u64> {
-    let excess = Excess {
-        requests: 20.0,
-        fraction: 0.1,
-        window: 5.0,
-    };
-    let size = ShareSize::of(rate, burst, &excess, 3);
+/// others. `quotas` holds the quota and its later changes, and `requests` the time in milliseconds and the share
+/// of each request; returns the times of those that were granted.
+fn granted_times(quotas: &[Quota], requests: &[(u64, usize)]) -> Vec<u64> {
     let start = Instant::now();
-    let mut shares = vec![Share::new(size, start); 3];
+    let mut shares = vec![Share::new(quotas[0].share_size(), start); 3];
     let mut granted = Vec::new();
     for (at, share) in requests {
         let now = start + ms(*at);
+        let in_force = quotas.iter().rfind(|q| q.from <= *at).unwrap();
+        let size = in_force.share_size();
         let mut is_granted = shares[*share].try_draw(size, now);
         for other in (0..3).filter(|o| o != share) {
             if !is_granted {
                 let transferred = shares[other].transfer_out(size, 3, now);
-                shares[*share].transfer_in(transferred);
-                is_granted = shares[*share].try_draw(size, now);
+                is_granted = shares[*share].draw_with(transferred, size, now);
             }
         }
         if is_granted {
@@ -177,26 +199,65 @@
                 (at, rng.random_range(0..3))
             })
             .collect();
-        let granted = granted_times(rate, burst, &requests);
-        let bound = (rate * 5.0 + f64::from(burst)) * 1.1 + 20.0;
-        for (i, first) in granted.iter().enumerate() {
-            let within = granted[i..].iter().take_while(|at| **at < first + 5_000);
-            assert!(
-                count(within) <= bound,
-                "seed {seed}: too many requests in one window"
-            );
-        }
+        let from = 0;
+        let quota = Quota { from, rate, burst };
+        let granted = granted_times(&[quota], &requests);
+        assert!(
+            most_in_window(&granted) <= quota.bound(),
+            "seed {seed}: too many requests in one window"
+        );
+    }
+}
+
+/// Returns the greatest number of times in one window.
+fn most_in_window(times: &[u64]) -> f64 {
+    let in_window = |(i, first): (usize, &u64)| {
+        let window = times[i..].iter().take_while(|at| **at < first + 5_000);
+        count(window)
+    };
+    times.iter().enumerate().map(in_window).fold(0.0, f64::max)
+}
+
+/// Guards against tokens that were filled under a higher limit and are spent long after it was lowered.
+#[test]
+fn lowered_quota_binds_one_window_after_its_change() {
+    for seed in 0..40 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let high = Quota {
+            from: 0,
+            rate: rng.random_range(20.0..200.0),
+            burst: rng.random_range(20..200),
+        };
+        let low = Quota {
+            from: rng.random_range(5_000..10_000),
+            rate: rng.random_range(1.0..20.0),
+            burst: rng.random_range(1..20),
+        };
+        let silent_until = low.from + rng.random_range(0..20_000);
+        let mut at = 0;
+        let requests: Vec<(u64, usize)> = (0..4_000)
+            .map(|_| {
+                at += rng.random_range(0..20);
+                if (low.from..silent_until).contains(&at) {
+                    at = silent_until;
+                }
+                (at, rng.random_range(0..3))
+            })
+            .collect();
+        let granted = granted_times(&[high, low], &requests);
+        let binds = low.from + 5_000;
+        let after: Vec<u64> = granted.into_iter().filter(|at| *at >= binds).collect();
+        let (most, bound) = (most_in_window(&after), low.bound());
+        assert!(
+            most <= bound,
+            "seed {seed}: {most} requests in one window, {bound} allowed"
+        );
     }
 }
 
 #[test]
 fn empty_share_grants_nothing_until_it_is_refilled() {
-    let excess = Excess {
-        requests: 20.0,
-        fraction: 0.1,
-        window: 5.0,
-    };
-    let size = ShareSize::of(30.0, 30, &excess, 3);
+    let size = ShareSize::of(30.0, 30, &EXCESS, 3);
     let start = Instant::now();
     let mut share = Share::empty(size, start + ms(1_000));
     assert!(!share.try_draw(size, start + ms(900)));
@@ -208,7 +269,12 @@
 fn quota_is_available_if_all_requests_come_to_one_data_centre() {
     // Requests at eight tenths of the rate, all in one data centre.
     let requests: Vec<(u64, usize)> = (0..400).map(|i| (i * 125, 0)).collect();
-    let granted = granted_times(10.0, 10, &requests);
+    let quota = Quota {
+        from: 0,
+        rate: 10.0,
+        burst: 10,
+    };
+    let granted = granted_times(&[quota], &requests);
     assert_eq!(granted.len(), requests.len());
 }
 
@@ -230,6 +296,14 @@
     assert!(budget.try_spend(0.0));
 }
 
+#[test]
+fn lowered_retry_budget_loses_its_excess() {
+    let mut budget = RetryBudget::new(50.0);
+    budget.earn(0.0, 5.0);
+    let spent = (0..60).filter(|_| budget.try_spend(0.0)).count();
+    assert_eq!(spent, 5);
+}
+
 fn rank(external: bool, route: u32) -> Rank {
     Rank {
         external,
--- a/tests/rates.rs
+++ b/tests/rates.rs
@@ -782,3 +782,21 @@
         }
     }
 }
+
+/// Guards against tokens of a higher limit that outlive it, as in the shares of quotas.
+#[test]
+fn lowered_limit_takes_tokens_from_full_slice() {
+    let start = Instant::now();
+    let mut bucket = Bucket::new(100.0, 100, true, start);
+    let later = start + Duration::from_secs(8);
+    bucket.reconfigure(5.0, 5, later);
+    let mut granted = 0;
+    for sequence in 0..100 {
+        let id = LeaseId {
+            borrower: 1,
+            sequence,
+        };
+        granted += bucket.grant_lease(id, TOKEN, TOKEN, later).granted;
+    }
+    assert_eq!(granted, 5 * TOKEN);
+}
