Endless bytes of a target no longer fill the memory of its node

Operators of similar systems reported a node that kept the endless bytes of a faulty target until it ran out of memory, which ended the requests of all its callers. Here a target that sends a body in chunks of one byte did so: with 40 reads and a timeout of 8 s the node had 221 MB in use, where the smallest machines have 160 MB.

Cause: response bodies are buffered up to a number of bytes, but each chunk was kept as an object of its own. Beside it: probes were read up to 64 MiB (78 MB in use), and a streamed body that is always ready was not cut at its deadline, since a timeout only fires while its future waits. Ruled out by the same test: endless headers, interim responses, garbage, and bytes behind an answer (10 to 14 MB each).

Content is copied into one buffer, and all buffered bodies share a budget of 16 MiB; probes may have 64 KiB; at most 64 KiB of a connection are read ahead; a body yields 64 KiB at most after its deadline.

--- a/src/node/probes.rs
+++ b/src/node/probes.rs
@@ -7,7 +7,7 @@
 use http_body_util::Full;
 
 use crate::{
-    net::{NetError, TimeLimits, fetch},
+    net::{ExchangeLimits, NetError, fetch},
     node::Core,
     policy::pace::parse_cold_left,
     proxy::{HeaderNames, Probe, ProbePurpose},
@@ -16,6 +16,9 @@
 /// Timeout of a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Largest body of a response to a probe, in bytes; only its status and headers are used.
+const MAX_PROBE_BYTES: usize = 64 << 10;
+
 /// Sends a probe, and records what the response decides.
 ///
 /// Health alone never decides whether a target is in use: it may be good at a failing target. It only decides
@@ -61,7 +64,11 @@
         .header("host", address)
         .body(Full::new(Bytes::new()))
         .map_err(|error| NetError::Exchange(error.to_string()))?;
-    fetch(address, request, TimeLimits::whole(PROBE_TIMEOUT)).await
+    let limits = ExchangeLimits {
+        size: MAX_PROBE_BYTES,
+        ..ExchangeLimits::whole(PROBE_TIMEOUT)
+    };
+    fetch(address, request, limits).await
 }
 
 /// Returns for how long a target stays cold according to its response to a probe; `None` if the response is not
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -9,15 +9,13 @@
 use serde_json::json;
 
 use crate::{
-    net::{TimeLimits, exchange},
+    net::{ExchangeLimits, exchange},
     platform::{Platform, PlatformError, check_status, malformed},
 };
 
 /// Time limits of one call. The chunk with all routes may take long over a slow link.
-const CALL_LIMITS: TimeLimits = TimeLimits {
-    step: Duration::from_secs(2),
-    total: Duration::from_secs(10),
-};
+const CALL_LIMITS: ExchangeLimits =
+    ExchangeLimits::stepwise(Duration::from_secs(2), Duration::from_secs(10));
 
 /// The content type of all bodies; objects have it too, because the platform does not inspect them.
 const CONTENT_TYPE: &str = "application/json";
@@ -26,13 +24,13 @@
 #[derive(Clone)]
 pub struct HttpClient {
     address: Arc<str>,
-    limits: TimeLimits,
+    limits: ExchangeLimits,
 }
 
 impl HttpClient {
     /// Creates a client whose calls have these time limits.
     #[must_use]
-    pub fn new(address: &str, limits: TimeLimits) -> Self {
+    pub fn new(address: &str, limits: ExchangeLimits) -> Self {
         Self {
             address: address.into(),
             limits,
--- a/src/proxy/delivery.rs
+++ b/src/proxy/delivery.rs
@@ -63,7 +63,11 @@
         }
     };
     let body = if let Some(limit) = buffer_limit(context, &body) {
-        let buffered = timeout(context.remaining(), buffer_response(body, limit)).await;
+        let buffered = timeout(
+            context.remaining(),
+            buffer_response(body, limit, &context.core.ingress.buffers),
+        )
+        .await;
         let buffered = buffered.map_err(|_| Code::Timeout)?;
         let (body, is_complete) = buffered.map_err(|error| {
             let (request, error) = (context.request_id.as_str(), error.to_string());
--- a/src/proxy/exchange.rs
+++ b/src/proxy/exchange.rs
@@ -23,6 +23,10 @@
 /// How long an idle connection may be reused.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(1);
 
+/// Most bytes of a connection that are read ahead, which also limits the head of a response. It bounds the memory and
+/// the processor time that a target takes which sends without end.
+const MAX_READ_AHEAD: usize = 64 << 10;
+
 /// Maximum number of idle connections to one target.
 const MAX_IDLE_CONNECTIONS: usize = 16;
 
@@ -86,7 +90,9 @@
         let connect = timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
         let stream = connect.await.map_err(|_| io::ErrorKind::TimedOut)??;
         stream.set_nodelay(true)?;
-        let (sender, driver) = http1::handshake(TokioIo::new(stream))
+        let (sender, driver) = http1::Builder::new()
+            .max_buf_size(MAX_READ_AHEAD)
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(io::Error::other)?;
         tokio::spawn(async move {
--- a/src/proxy/ingress.rs
+++ b/src/proxy/ingress.rs
@@ -26,7 +26,7 @@
         Code, Outcome, Purpose,
         error_response::{CODE_HEADER, error_response},
         lifecycle::run,
-        payload::{Payload, buffer_request},
+        payload::{BufferBudget, Payload, buffer_request},
         request_context::RequestContext,
         request_headers::{authenticate, client_timeout, forwarded_headers, requested_host},
         retries::RetryBudgets,
@@ -49,6 +49,8 @@
     pub retry_budgets: RetryBudgets,
     /// Health of the paths to other nodes, by address.
     pub(super) paths: Mutex<HashMap<Arc<str>, PathHealth>>,
+    /// Budget for response bodies that are buffered.
+    pub(super) buffers: BufferBudget,
 }
 
 /// The organisation that a request is made for, and the id of its key.
--- a/src/proxy/payload.rs
+++ b/src/proxy/payload.rs
@@ -1,16 +1,19 @@
 //! Bodies of requests and responses: buffered so that an attempt can be repeated, or streamed once.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures::{Stream, StreamExt, stream};
 use http_body_util::{BodyExt, BodyStream, StreamBody};
 use hyper::body::{Body as _, Frame, Incoming};
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::{
+    sync::{OwnedSemaphorePermit, Semaphore},
+    time::{Instant, timeout, timeout_at},
+};
 
 use crate::{
     fleet::{Body, BoxError, box_body, empty, full},
-    proxy::Code,
+    proxy::{Code, TrackedBody},
 };
 
 /// Largest body in bytes, of a request or of most responses, that is buffered so that an attempt can be
@@ -21,6 +24,16 @@
 /// well above the largest documents that the sites serve, and small compared to a node's memory.
 pub const RESPONSE_BUFFER_LIMIT: usize = 1 << 20;
 
+/// Most bytes of response bodies that a node buffers at once, a tenth of the memory of the smallest VMs. Bodies beyond
+/// are passed on as they arrive.
+const BUFFER_BUDGET: usize = 16 << 20;
+
+/// Most bytes of a body that are passed on after its deadline. A caller may read the last ones late.
+const LATE_LIMIT: usize = 64 << 10;
+
+/// Unit in which the budget is divided, in bytes.
+const BUDGET_UNIT: usize = 1 << 10;
+
 /// Maximum wait for the next frame of a caller's request body.
 const BODY_IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -56,9 +69,15 @@
     if body.is_end_stream() {
         return Ok(Payload::Buffered(Bytes::new()));
     }
-    let collected = collect(box_body(body), BUFFER_LIMIT, Some(BODY_IDLE_TIMEOUT)).await;
-    match collected.map_err(|_| Code::RequestIncomplete)? {
-        Collected::Complete(bytes) => Ok(Payload::Buffered(bytes)),
+    let reservation = Reservation::unlimited();
+    let collected = collect(
+        box_body(body),
+        BUFFER_LIMIT,
+        Some(BODY_IDLE_TIMEOUT),
+        reservation,
+    );
+    match collected.await.map_err(|_| Code::RequestIncomplete)? {
+        Collected::Complete(bytes, _) => Ok(Payload::Buffered(bytes)),
         Collected::Partial(body) => Ok(Payload::Streamed(Some(body))),
     }
 }
@@ -66,54 +85,117 @@
 /// Buffers a response body of up to `limit` bytes, so that the attempt can be repeated if the body breaks.
 ///
 /// Returns the body and whether it is buffered whole.
-pub(super) async fn buffer_response(body: Body, limit: usize) -> Result<(Body, bool), BoxError> {
-    Ok(match collect(body, limit, None).await? {
-        Collected::Complete(bytes) => (full(bytes), true),
+pub(super) async fn buffer_response(
+    body: Body,
+    limit: usize,
+    budget: &BufferBudget,
+) -> Result<(Body, bool), BoxError> {
+    let reservation = Reservation::of(budget);
+    Ok(match collect(body, limit, None, reservation).await? {
+        Collected::Complete(bytes, reservation) => (reservation.attach(full(bytes)), true),
         Collected::Partial(body) => (body, false),
     })
 }
 
+/// Bounds the bytes of response bodies that a node buffers at once.
+pub(super) struct BufferBudget(Arc<Semaphore>);
+
+impl Default for BufferBudget {
+    fn default() -> Self {
+        Self(Arc::new(Semaphore::new(BUFFER_BUDGET / BUDGET_UNIT)))
+    }
+}
+
+/// The part of a budget that one body holds; dropping it returns that part.
+struct Reservation {
+    /// `None` if the body needs no budget.
+    budget: Option<Arc<Semaphore>>,
+    held: Option<OwnedSemaphorePermit>,
+}
+
+impl Reservation {
+    fn unlimited() -> Self {
+        Self {
+            budget: None,
+            held: None,
+        }
+    }
+
+    fn of(budget: &BufferBudget) -> Self {
+        Self {
+            budget: Some(Arc::clone(&budget.0)),
+            held: None,
+        }
+    }
+
+    /// Extends the reservation to this many bytes, and returns whether the budget allows it.
+    fn extend_to(&mut self, bytes: usize) -> bool {
+        let Some(budget) = &self.budget else {
+            return true;
+        };
+        let held = self
+            .held
+            .as_ref()
+            .map_or(0, OwnedSemaphorePermit::num_permits);
+        let missing = bytes.div_ceil(BUDGET_UNIT).saturating_sub(held);
+        let missing = u32::try_from(missing).unwrap_or(u32::MAX);
+        let Ok(more) = Arc::clone(budget).try_acquire_many_owned(missing) else {
+            return false;
+        };
+        match &mut self.held {
+            Some(held) => held.merge(more),
+            held => *held = Some(more),
+        }
+        true
+    }
+
+    /// Returns a body that holds the reservation until it has been read or is dropped.
+    fn attach(self, body: Body) -> Body {
+        match self.held {
+            Some(held) => box_body(TrackedBody::new(body, Box::new(move |_| drop(held)))),
+            None => body,
+        }
+    }
+}
+
 /// A body that was read up to a limit.
 enum Collected {
-    Complete(Bytes),
-    /// The body exceeds the limit. This body yields the bytes that were read, and then the rest.
+    Complete(Bytes, Reservation),
+    /// The body exceeds the limit or the budget. This body yields the bytes that were read, and then the rest.
     Partial(Body),
 }
 
-/// Reads a body until it ends or exceeds `limit` bytes. If `idle_timeout` is given, fails if a frame takes
-/// longer.
+/// Reads a body until it ends, or exceeds `limit` bytes or the budget. If `idle_timeout` is given, fails if a frame
+/// takes longer.
+///
+/// The content is copied, since each frame would occupy more memory than its bytes if a target sent tiny ones.
 async fn collect(
     mut body: Body,
     limit: usize,
     idle_timeout: Option<Duration>,
+    mut reservation: Reservation,
 ) -> Result<Collected, BoxError> {
-    let mut chunks: Vec<Bytes> = Vec::new();
-    let mut size = 0;
-    if body.size_hint().lower() > limit as u64 {
-        return Ok(Collected::Partial(with_idle_timeout(
-            chunks,
-            body,
-            idle_timeout,
-        )));
-    }
-    while size <= limit {
+    let mut content = BytesMut::new();
+    let mut fits = body.size_hint().lower() <= limit as u64;
+    while fits {
         let frame = match idle_timeout {
             Some(idle_timeout) => timeout(idle_timeout, body.frame()).await?,
             None => body.frame().await,
         };
         let Some(frame) = frame else {
-            return Ok(Collected::Complete(Bytes::from(chunks.concat())));
+            return Ok(Collected::Complete(content.freeze(), reservation));
         };
         if let Ok(data) = frame?.into_data() {
-            size += data.len();
-            chunks.push(data);
+            content.extend_from_slice(&data);
+            let reserved = reservation.extend_to(content.capacity());
+            if !reserved {
+                spdlog::warn!("buffers for response bodies are full", kv: { buffered = content.len() });
+            }
+            fits = reserved && content.len() <= limit;
         }
     }
-    Ok(Collected::Partial(with_idle_timeout(
-        chunks,
-        body,
-        idle_timeout,
-    )))
+    let body = with_idle_timeout(content.freeze(), body, idle_timeout);
+    Ok(Collected::Partial(reservation.attach(body)))
 }
 
 /// Returns a body that fails if it has not ended after `limit`.
@@ -124,34 +206,57 @@
     })))
 }
 
-/// Returns a body that yields the chunks and then the rest of `body`. If `idle_timeout` is given, it fails if a
+/// Returns a body that yields `start` and then the rest of `body`. If `idle_timeout` is given, it fails if a
 /// frame takes longer.
-fn with_idle_timeout(chunks: Vec<Bytes>, body: Body, idle_timeout: Option<Duration>) -> Body {
-    let buffered = stream::iter(chunks.into_iter().map(|c| Ok(Frame::data(c))));
+fn with_idle_timeout(start: Bytes, body: Body, idle_timeout: Option<Duration>) -> Body {
+    let start = (!start.is_empty()).then(|| Ok(Frame::data(start)));
+    let buffered = stream::iter(start);
     let rest = frames_in_time(body, move || idle_timeout.map(|t| Instant::now() + t));
     box_body(StreamBody::new(buffered.chain(rest)))
 }
 
 /// Yields the frames of a body. Fails if one has not arrived at its deadline, which `next_deadline` returns when the
-/// wait for it begins.
+/// wait for it begins. Frames that are ready then are still yielded, up to [`LATE_LIMIT`] bytes.
 fn frames_in_time(
     body: Body,
     next_deadline: impl Fn() -> Option<Instant>,
 ) -> impl Stream<Item = Result<Frame<Bytes>, BoxError>> {
-    stream::unfold(Some(BodyStream::new(body)), move |state| {
+    stream::unfold(Some((BodyStream::new(body), 0)), move |state| {
         let deadline = next_deadline();
         async move {
-            let mut frames = state?;
-            let next = match deadline {
-                Some(deadline) => timeout_at(deadline, frames.next()).await,
-                None => Ok(frames.next().await),
-            };
-            match next {
-                Ok(Some(Ok(frame))) => Some((Ok(frame), Some(frames))),
-                Ok(Some(Err(error))) => Some((Err(error), None)),
-                Ok(None) => None,
-                Err(elapsed) => Some((Err(BoxError::from(elapsed)), None)),
+            let (mut frames, mut late) = state?;
+            match next_in_time(&mut frames, &mut late, deadline).await? {
+                Ok(frame) => Some((Ok(frame), Some((frames, late)))),
+                Err(error) => Some((Err(error), None)),
             }
         }
     })
 }
+
+/// Returns the next frame of a body. Counts the bytes that come after the deadline in `late`.
+///
+/// A timeout only fires while its future waits, which the frames of a fast and endless body never do.
+async fn next_in_time(
+    frames: &mut BodyStream<Body>,
+    late: &mut usize,
+    deadline: Option<Instant>,
+) -> Option<Result<Frame<Bytes>, BoxError>> {
+    let Some(deadline) = deadline else {
+        return frames.next().await;
+    };
+    let frame = match timeout_at(deadline, frames.next()).await {
+        Ok(next) => next?,
+        Err(elapsed) => Err(elapsed.into()),
+    };
+    if Instant::now() >= deadline {
+        *late += frame.as_ref().map_or(0, frame_size);
+    }
+    match *late > LATE_LIMIT {
+        true => Some(Err("the body continues after its deadline".into())),
+        false => Some(frame),
+    }
+}
+
+fn frame_size(frame: &Frame<Bytes>) -> usize {
+    frame.data_ref().map_or(0, Bytes::len)
+}
--- a/src/report.rs
+++ b/src/report.rs
@@ -11,7 +11,7 @@
     cli::ReportArgs,
     error::Error,
     exit_codes::Exit,
-    net::{TimeLimits, exchange},
+    net::{ExchangeLimits, exchange},
     ops::burn::{ServiceLevel, WINDOWS, WindowCounts, service_levels},
 };
 
@@ -45,7 +45,7 @@
         .header("host", node)
         .body(Full::new(Bytes::new()))
         .map_err(|e| node_error(e.to_string()))?;
-    let (_, content) = exchange(node, request, TimeLimits::whole(NODE_TIMEOUT))
+    let (_, content) = exchange(node, request, ExchangeLimits::whole(NODE_TIMEOUT))
         .await
         .map_err(|e| node_error(e.to_string()))?;
     serde_json::from_slice(&content).map_err(|e| node_error(e.to_string()))
