Nodes of a data centre that know each other only by relayed records find each other

Cause: both read the platform's table before the row of the other one was written, and both knew a node of another data centre, so that they did not read it again. Pulls went to live and listed nodes only. Evidence: each held the record of the other, with an age of 'never', and /state showed the other's target missing.

Pulls now and then go to recorded nodes that are not alive, as those of the fleet's own form do.

--- a/src/node/gossip.rs
+++ b/src/node/gossip.rs
@@ -73,14 +73,18 @@
 
 /// Returns the addresses of a data centre's live nodes, without this one.
 fn alive_in<'s>(core: &Core, shared: &'s Shared, centre: &str) -> Vec<&'s str> {
-    let in_centre = |vm: &&Vm| *shared.board.data_centres[vm.data_centre].name == *centre;
-    let vms = shared.board.vms.values();
-    vms.filter(|vm| vm.alive && *vm.address != *core.address)
-        .filter(in_centre)
+    vms_in(shared, centre)
+        .filter(|vm| vm.alive && *vm.address != *core.address)
         .map(|vm| &*vm.address)
         .collect()
 }
 
+/// Returns the known VMs of a data centre.
+fn vms_in<'s>(shared: &'s Shared, centre: &str) -> impl Iterator<Item = &'s Vm> {
+    let in_centre = move |vm: &&Vm| *shared.board.data_centres[vm.data_centre].name == *centre;
+    shared.board.vms.values().filter(in_centre)
+}
+
 /// Chooses a peer to pull from within this data centre: half of the time its delegate, which reads the
 /// feed, otherwise any live node, and occasionally a known address that need not be alive. If no
 /// address is known there, any listed node is chosen.
@@ -95,7 +99,10 @@
         let local = seeds.clone().filter(|s| s.centre == centre);
         let listed = local.map(|s| s.address.as_str());
         let peers = core.settings.peers.iter().map(String::as_str);
-        let local: Vec<&str> = listed.chain(peers).filter(not_alive).collect();
+        // A node of this data centre may be known only by a record that another data centre relayed.
+        let recorded = vms_in(&shared, centre).map(|vm| &*vm.address);
+        let local = listed.chain(peers).chain(recorded);
+        let local: Vec<&str> = local.filter(not_alive).collect();
         let all: Vec<&str> = seeds
             .map(|s| s.address.as_str())
             .filter(not_alive)
