--- a/src/node/gossip.rs
+++ b/src/node/gossip.rs
@@ -49,7 +49,7 @@
         let jitter = rng().random_range(0.8..1.2);
         let woken = timeout(PULL_INTERVAL.mul_f64(jitter), core.gossip_now.notified()).await;
         let now = core.clock.now();
-        // With a feed, only the delegate and a node that is shutting down spread changes at once.
+        // With a feed, only the delegate and a node that is shutting down spread all changes at once.
         let mut peers: Vec<SocketAddr> = match (core.feed.is_some(), woken.is_ok()) {
             (false, _) => choose_peer(&core).into_iter().collect(),
             (true, false) => choose_local_peer(&core).into_iter().collect(),
