--- a/review/harness-2/main.rs
+++ b/review/harness-2/main.rs
@@ -5,6 +5,7 @@
 mod evacuation;
 mod late_heartbeat;
 mod odd_heartbeat;
+mod slow_download;
 mod stand_ins;
 
 use std::process::ExitCode;
@@ -19,6 +20,7 @@
         "evacuation" => evacuation::run(trouble),
         "late-heartbeat" => late_heartbeat::run(trouble),
         "odd-heartbeat" => odd_heartbeat::run(trouble),
+        "slow-download" => slow_download::run(trouble),
         "attempts" => attempts::run(trouble),
         _ => Err("no such case"),
     };
--- a/review/harness-2/stand_ins.rs
+++ b/review/harness-2/stand_ins.rs
@@ -11,7 +11,7 @@
     process::{Child, Command, Stdio},
     sync::{
         Arc, Mutex,
-        atomic::{AtomicBool, AtomicU64, Ordering::SeqCst},
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering::SeqCst},
     },
     thread,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
@@ -284,6 +284,8 @@
     sequence: AtomicU64,
     beating: AtomicBool,
     ended: AtomicBool,
+    /// Size of its answers, 0 for a short text.
+    size: AtomicUsize,
     runs: Arc<Mutex<Vec<Run>>>,
     record: Arc<Record>,
 }
@@ -308,6 +310,7 @@
             sequence: AtomicU64::new(0),
             beating: AtomicBool::new(true),
             ended: AtomicBool::new(false),
+            size: AtomicUsize::new(0),
             runs: Arc::clone(runs),
             record: Arc::clone(record),
         });
@@ -330,6 +333,11 @@
         self.beating.store(false, SeqCst);
     }
 
+    /// Makes the backend answer with this many bytes.
+    pub fn answer_with(&self, size: usize) {
+        self.size.store(size, SeqCst);
+    }
+
     /// Ends the backend: it accepts nothing more, and what it runs gets no answer.
     pub fn end(&self) {
         self.ended.store(true, SeqCst);
@@ -390,7 +398,11 @@
                 return Ok(());
             }
             let headers = format!("Attempt-Id: {attempt}\r\nServer-Stamp: stamp.{id}.{attempt}\r\n");
-            respond(&mut stream, "200 OK", &headers, "the backend's bytes")?;
+            let body = match self.size.load(SeqCst) {
+                0 => "the backend's bytes".to_owned(),
+                size => "x".repeat(size),
+            };
+            respond(&mut stream, "200 OK", &headers, &body)?;
         }
         Ok(())
     }
@@ -601,9 +613,13 @@
 
 /// Returns a configuration in which requests to shop.example below /read/ go to a service.
 ///
-/// The routes give requests 12 s, as the sheets' slowest kind of request has, or 4 s, as orders have.
+/// The routes give requests 12 s, as the sheets' slowest kind of request has, 8 s for downloads, and 4 s for orders.
 pub fn configuration(version: u32, service: &str, (kind, attempts): (&str, u32), further_routes: usize) -> String {
-    let (timeout_s, slo_s) = if kind == "idempotent" { (12, 6) } else { (4, 2) };
+    let (timeout_s, slo_s) = match kind {
+        "idempotent" => (12, 6),
+        "download" => (8, 2),
+        _ => (4, 2),
+    };
     let route = |name: &str, prefix: &str| {
         format!(
             r#"{{"entry_type":"routes","metadata":{{"name":"{name}"}},"spec":{{"host":"shop.example","prefix":"{prefix}","type":"{kind}","timeout_s":{timeout_s},"slo_s":{slo_s},"priority":2,"service":"{service}","attempts":{attempts},"public":true}}}}"#
