--- a/review/harness-2/main.rs
+++ b/review/harness-2/main.rs
@@ -1,12 +1,12 @@
 //! The scripts of the review's cases. Each starts a small deployment, sends requests, and checks one rule by what clients
 //! and backends saw. Exit status: 0 if the rule held, 1 if it was broken, 2 if the case couldn't run.
 
-mod attempts;
 mod evacuation;
 mod late_heartbeat;
 mod odd_heartbeat;
 mod slow_download;
 mod stand_ins;
+mod two_stops;
 
 use std::process::ExitCode;
 
@@ -21,7 +21,7 @@
         "late-heartbeat" => late_heartbeat::run(trouble),
         "odd-heartbeat" => odd_heartbeat::run(trouble),
         "slow-download" => slow_download::run(trouble),
-        "attempts" => attempts::run(trouble),
+        "two-stops" => two_stops::run(trouble),
         _ => Err("no such case"),
     };
     match verdict {
--- a/review/harness-2/odd_heartbeat.rs
+++ b/review/harness-2/odd_heartbeat.rs
@@ -21,9 +21,15 @@
 const LIMIT: Duration = Duration::from_secs(2);
 
 pub fn run(trouble: bool) -> Verdict {
-    let fleet = Fleet::start(SERVICE, 3, &configuration(1, SERVICE, ("non_idempotent", 2), 0));
+    let fleet = Fleet::start(
+        SERVICE,
+        3,
+        &configuration(1, SERVICE, ("non_idempotent", 2), 0),
+    );
     let work = Duration::from_millis(400);
-    let backends: Vec<_> = (0..3).map(|i| fleet.start_backend(i, SERVICE, work)).collect();
+    let backends: Vec<_> = (0..3)
+        .map(|i| fleet.start_backend(i, SERVICE, work))
+        .collect();
     if !fleet.await_ready(Duration::from_secs(15)) {
         return Err("the nodes did not become ready");
     }
@@ -31,7 +37,12 @@
     let draining = &backends[0];
     let reached = || {
         send_order(record, &fleet.nodes[0], ("/read/a", "warm-up"), LIMIT);
-        fleet.runs.lock().unwrap().iter().any(|r| r.backend == draining.id)
+        fleet
+            .runs
+            .lock()
+            .unwrap()
+            .iter()
+            .any(|r| r.backend == draining.id)
     };
     if !await_true(Duration::from_secs(10), reached) {
         return Err("the backend is not used before it drains");
@@ -43,14 +54,19 @@
             r#"{{"service":"{SERVICE}","addr":"{address}","slots":7,"state":"ready","cold_left_s":0,"seq":{seq},"born":{born}}}"#
         );
         let status = draining.send_beat(&beat).unwrap_or(0);
-        record.write(&format!("another writer's heartbeat, without zone and version, gets {status}: {beat}"));
+        record.write(&format!(
+            "another writer's heartbeat, without zone and version, gets {status}: {beat}"
+        ));
     }
     draining.stop_beating();
     let acknowledged = draining.send_beat(&draining.next_beat("draining"));
     if !acknowledged.is_ok_and(|status| status / 100 == 2) {
         return Err("the draining was not acknowledged");
     }
-    let drained = record.write(&format!("backend {} reports that it is draining, and its node acknowledges it", draining.id));
+    let drained = record.write(&format!(
+        "backend {} reports that it is draining, and its node acknowledges it",
+        draining.id
+    ));
     thread::scope(|scope| {
         let mut next_beat = drained + HEARTBEAT.as_secs_f64();
         for number in 0.. {
@@ -59,21 +75,37 @@
                 break;
             }
             if now >= next_beat {
-                let status = draining.send_beat(&draining.next_beat("draining")).unwrap_or(0);
-                record.write(&format!("backend {} reports again that it is draining, and gets {status}", draining.id));
+                let status = draining
+                    .send_beat(&draining.next_beat("draining"))
+                    .unwrap_or(0);
+                record.write(&format!(
+                    "backend {} reports again that it is draining, and gets {status}",
+                    draining.id
+                ));
                 next_beat += HEARTBEAT.as_secs_f64();
             }
             let node = &fleet.nodes[number % 3];
-            scope.spawn(move || send_order(record, node, ("/read/a", &format!("r-{number}")), LIMIT));
+            scope.spawn(move || {
+                send_order(record, node, ("/read/a", &format!("r-{number}")), LIMIT)
+            });
             thread::sleep(INTERVAL);
         }
         let status = draining.send_leave().unwrap_or(0);
         draining.end();
-        record.write(&format!("backend {} leaves (DELETE), gets {status}, and ends", draining.id));
+        record.write(&format!(
+            "backend {} leaves (DELETE), gets {status}, and ends",
+            draining.id
+        ));
     });
     let runs = fleet.runs.lock().unwrap();
-    let late = runs.iter().filter(|r| r.backend == draining.id && r.at > drained + DRAIN).count();
-    let elsewhere = runs.iter().filter(|r| r.backend != draining.id && r.at > drained).count();
+    let late = runs
+        .iter()
+        .filter(|r| r.backend == draining.id && r.at > drained + DRAIN)
+        .count();
+    let elsewhere = runs
+        .iter()
+        .filter(|r| r.backend != draining.id && r.at > drained)
+        .count();
     record.write(&format!("{late} requests reached {} more than {DRAIN} s after its draining was acknowledged; {elsewhere} ran elsewhere", draining.id));
     if elsewhere == 0 {
         return Err("nothing was served elsewhere");
--- a/review/harness-2/slow_download.rs
+++ b/review/harness-2/slow_download.rs
@@ -38,7 +38,9 @@
 pub fn run(trouble: bool) -> Verdict {
     let fleet = Fleet::start(SERVICE, 3, &configuration(1, SERVICE, ("download", 2), 0));
     let work = Duration::from_millis(50);
-    let backends: Vec<_> = (0..3).map(|i| fleet.start_backend(i, SERVICE, work)).collect();
+    let backends: Vec<_> = (0..3)
+        .map(|i| fleet.start_backend(i, SERVICE, work))
+        .collect();
     backends.iter().for_each(|b| b.answer_with(SIZE));
     if !fleet.await_ready(Duration::from_secs(15)) {
         return Err("the nodes did not become ready");
@@ -50,7 +52,11 @@
         return Err("requests are not served");
     }
     thread::sleep(Duration::from_secs(4));
-    let (complete, cut, failed) = (AtomicUsize::new(0), AtomicUsize::new(0), AtomicUsize::new(0));
+    let (complete, cut, failed) = (
+        AtomicUsize::new(0),
+        AtomicUsize::new(0),
+        AtomicUsize::new(0),
+    );
     if trouble {
         record.write("the node of kochi-a gets SIGTERM; its grace is 6 s");
         node.send_term();
@@ -71,11 +77,15 @@
         if trouble {
             node.await_end(Duration::from_secs(6));
             let after = stopped.elapsed().as_secs_f64();
-            record.write(&format!("the process of the node has ended {after:.2} s after SIGTERM"));
+            record.write(&format!(
+                "the process of the node has ended {after:.2} s after SIGTERM"
+            ));
         }
     });
     let (complete, cut, failed) = (complete.into_inner(), cut.into_inner(), failed.into_inner());
-    record.write(&format!("{complete} answers were complete, {cut} were cut midway, {failed} requests got no success"));
+    record.write(&format!(
+        "{complete} answers were complete, {cut} were cut midway, {failed} requests got no success"
+    ));
     if complete + cut == 0 {
         return Err("no download began");
     }
@@ -94,7 +104,8 @@
     stream.write_all(head.as_bytes()).ok()?;
     let (mut content, mut part) = (Vec::new(), [0; 4_096]);
     let mut body_start = None;
-    let body_length = |content: &Vec<u8>, start: Option<usize>| start.map_or(0, |s| content.len() - s);
+    let body_length =
+        |content: &Vec<u8>, start: Option<usize>| start.map_or(0, |s| content.len() - s);
     let mut end = "the whole answer came";
     while body_length(&content, body_start) < SIZE {
         match stream.read(&mut part) {
@@ -115,9 +126,15 @@
         let due = Duration::from_secs_f64(content.len() as f64 / RATE);
         thread::sleep(due.saturating_sub(started.elapsed()));
     }
-    let (took, got) = (started.elapsed().as_secs_f64(), body_length(&content, body_start));
+    let (took, got) = (
+        started.elapsed().as_secs_f64(),
+        body_length(&content, body_start),
+    );
     let status = String::from_utf8_lossy(&content[..content.len().min(12)]).into_owned();
-    record.write(&format!("client in {} got {status}, {got} of {SIZE} bytes for {id} in {took:.2} s: {end}", node.zone));
+    record.write(&format!(
+        "client in {} got {status}, {got} of {SIZE} bytes for {id} in {took:.2} s: {end}",
+        node.zone
+    ));
     (content.starts_with(b"HTTP/1.1 200") && body_start.is_some()).then_some(got)
 }
 
--- a/review/harness-2/stand_ins.rs
+++ b/review/harness-2/stand_ins.rs
@@ -35,7 +35,10 @@
     pub fn create() -> Arc<Self> {
         let path = std::env::var("RECORD").expect("RECORD names the record's file");
         let file = File::create(path).expect("the record can be written");
-        Arc::new(Self { file: Mutex::new(file), started: Instant::now() })
+        Arc::new(Self {
+            file: Mutex::new(file),
+            started: Instant::now(),
+        })
     }
 
     /// Returns the seconds since the start.
@@ -65,7 +68,11 @@
     }
 
     pub fn status(&self) -> u32 {
-        self.first.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0)
+        self.first
+            .split(' ')
+            .nth(1)
+            .and_then(|s| s.parse().ok())
+            .unwrap_or(0)
     }
 
     pub fn path(&self) -> &str {
@@ -96,8 +103,15 @@
         let (name, value) = line.split_once(':').ok_or_else(malformed)?;
         headers.push((name.to_ascii_lowercase(), value.trim().to_owned()));
     }
-    let mut message = Message { first: first.trim_end().to_owned(), headers, body: Vec::new() };
-    if message.header("transfer-encoding").eq_ignore_ascii_case("chunked") {
+    let mut message = Message {
+        first: first.trim_end().to_owned(),
+        headers,
+        body: Vec::new(),
+    };
+    if message
+        .header("transfer-encoding")
+        .eq_ignore_ascii_case("chunked")
+    {
         loop {
             let mut line = String::new();
             reader.read_line(&mut line)?;
@@ -175,7 +189,8 @@
         let mut rows = self.0.lock().unwrap();
         rows.version += 1;
         let version = rows.version;
-        rows.stored.insert((table.to_owned(), key.to_owned()), (value, version));
+        rows.stored
+            .insert((table.to_owned(), key.to_owned()), (value, version));
     }
 
     fn serve_connection(&self, mut stream: TcpStream) -> io::Result<()> {
@@ -188,7 +203,12 @@
                 None if path == "/v1/rows-tx" => self.apply(&request.body),
                 _ => ("404 Not Found", "{}".to_owned()),
             };
-            respond(&mut stream, status, "Content-Type: application/json\r\n", &body)?;
+            respond(
+                &mut stream,
+                status,
+                "Content-Type: application/json\r\n",
+                &body,
+            )?;
         }
         Ok(())
     }
@@ -261,10 +281,10 @@
     out
 }
 
-/// A request that reached a backend and was run there.
+/// A request that a backend ran, or gave up.
 #[derive(Clone)]
 pub struct Run {
-    /// When it arrived, in seconds since the start.
+    /// When, in seconds since the start.
     pub at: f64,
     pub backend: String,
     pub attempt: String,
@@ -280,13 +300,15 @@
     pub admin: SocketAddr,
     /// Its start, in Unix milliseconds.
     pub born: u64,
-    work: Duration,
+    /// How long it works on a request, in milliseconds.
+    work: AtomicU64,
     sequence: AtomicU64,
     beating: AtomicBool,
     ended: AtomicBool,
     /// Size of its answers, 0 for a short text.
     size: AtomicUsize,
     runs: Arc<Mutex<Vec<Run>>>,
+    drops: Arc<Mutex<Vec<Run>>>,
     record: Arc<Record>,
 }
 
@@ -296,7 +318,7 @@
         (id, service, zone): (&str, &str, &str),
         (address, admin): (SocketAddr, SocketAddr),
         work: Duration,
-        runs: &Arc<Mutex<Vec<Run>>>,
+        (runs, drops): (&Arc<Mutex<Vec<Run>>>, &Arc<Mutex<Vec<Run>>>),
         record: &Arc<Record>,
     ) -> Arc<Self> {
         let backend = Arc::new(Self {
@@ -306,12 +328,13 @@
             address,
             admin,
             born: unix_millis(),
-            work,
+            work: AtomicU64::new(u64::try_from(work.as_millis()).unwrap_or(0)),
             sequence: AtomicU64::new(0),
             beating: AtomicBool::new(true),
             ended: AtomicBool::new(false),
             size: AtomicUsize::new(0),
             runs: Arc::clone(runs),
+            drops: Arc::clone(drops),
             record: Arc::clone(record),
         });
         let served = Arc::clone(&backend);
@@ -333,11 +356,34 @@
         self.beating.store(false, SeqCst);
     }
 
+    /// Sets how long the backend works on requests that arrive from now on.
+    pub fn set_work(&self, work: Duration) {
+        self.work
+            .store(u64::try_from(work.as_millis()).unwrap_or(0), SeqCst);
+    }
+
     /// Makes the backend answer with this many bytes.
     pub fn answer_with(&self, size: usize) {
         self.size.store(size, SeqCst);
     }
 
+    /// Works on a request, and returns false if the connection ends meanwhile, as most backends do.
+    fn work(&self, stream: &TcpStream) -> io::Result<bool> {
+        let end = Instant::now() + Duration::from_millis(self.work.load(SeqCst));
+        stream.set_nonblocking(true)?;
+        let mut is_open = true;
+        while is_open && Instant::now() < end {
+            let left = end.saturating_duration_since(Instant::now());
+            thread::sleep(left.min(Duration::from_millis(20)));
+            is_open = match stream.peek(&mut [0]) {
+                Ok(read) => read > 0,
+                Err(error) => error.kind() == io::ErrorKind::WouldBlock,
+            };
+        }
+        stream.set_nonblocking(false)?;
+        Ok(is_open)
+    }
+
     /// Ends the backend: it accepts nothing more, and what it runs gets no answer.
     pub fn end(&self) {
         self.ended.store(true, SeqCst);
@@ -389,15 +435,32 @@
                 respond(&mut stream, "421 Misdirected Request", &instance, "")?;
                 continue;
             }
-            let at = self.record.write(&format!("backend {id} runs {attempt} {}", request.path()));
-            let run = Run { at, backend: id.clone(), attempt: attempt.clone() };
+            let at = self
+                .record
+                .write(&format!("backend {id} runs {attempt} {}", request.path()));
+            let run = Run {
+                at,
+                backend: id.clone(),
+                attempt: attempt.clone(),
+            };
             self.runs.lock().unwrap().push(run);
-            thread::sleep(self.work);
+            if !self.work(&stream)? {
+                let line = format!("backend {id} drops {attempt}, since its connection has ended");
+                let at = self.record.write(&line);
+                self.drops.lock().unwrap().push(Run {
+                    at,
+                    backend: id.clone(),
+                    attempt,
+                });
+                return Ok(());
+            }
             if self.ended.load(SeqCst) {
-                self.record.write(&format!("backend {id} has ended, and {attempt} is lost"));
+                self.record
+                    .write(&format!("backend {id} has ended, and {attempt} is lost"));
                 return Ok(());
             }
-            let headers = format!("Attempt-Id: {attempt}\r\nServer-Stamp: stamp.{id}.{attempt}\r\n");
+            let headers =
+                format!("Attempt-Id: {attempt}\r\nServer-Stamp: stamp.{id}.{attempt}\r\n");
             let body = match self.size.load(SeqCst) {
                 0 => "the backend's bytes".to_owned(),
                 size => "x".repeat(size),
@@ -409,7 +472,9 @@
 }
 
 pub fn unix_millis() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).expect("a clock after 1970");
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .expect("a clock after 1970");
     u64::try_from(since.as_millis()).unwrap_or(0)
 }
 
@@ -433,7 +498,11 @@
     }
 
     pub fn start(&self) {
-        let log = File::options().create(true).append(true).open(&self.log).expect("a log file");
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(&self.log)
+            .expect("a log file");
         let program = std::env::var("NODE").expect("NODE names the node's program");
         let process = Command::new(program)
             .env("MARJORAMDYKE_NODE_FILE", &self.settings)
@@ -448,7 +517,9 @@
     /// Asks the process to stop, with SIGTERM.
     pub fn send_term(&self) {
         if let Some(process) = &*self.process.lock().unwrap() {
-            let _ = Command::new("kill").args(["-TERM", &process.id().to_string()]).status();
+            let _ = Command::new("kill")
+                .args(["-TERM", &process.id().to_string()])
+                .status();
         }
     }
 
@@ -483,6 +554,8 @@
     pub store: Store,
     pub nodes: Vec<Node>,
     pub runs: Arc<Mutex<Vec<Run>>>,
+    /// Requests that a backend gave up, since their connection ended, and when.
+    pub drops: Arc<Mutex<Vec<Run>>>,
 }
 
 pub const ZONES: [&str; 3] = ["kochi-a", "kochi-b", "kochi-c"];
@@ -532,7 +605,13 @@
                 process: Mutex::default(),
             });
         }
-        let fleet = Self { record, store, nodes, runs: Arc::default() };
+        let fleet = Self {
+            record,
+            store,
+            nodes,
+            runs: Arc::default(),
+            drops: Arc::default(),
+        };
         for node in &fleet.nodes {
             node.start();
         }
@@ -547,7 +626,7 @@
             (&id, service, &node.zone),
             (node.target, node.admin),
             work,
-            &self.runs,
+            (&self.runs, &self.drops),
             &self.record,
         )
     }
@@ -587,7 +666,12 @@
 }
 
 /// Sends a request of a client to its machine's node, and returns the status of the response, 0 if there is none.
-pub fn send_request(record: &Record, node: &Node, (path, id): (&str, &str), limit: Duration) -> u32 {
+pub fn send_request(
+    record: &Record,
+    node: &Node,
+    (path, id): (&str, &str),
+    limit: Duration,
+) -> u32 {
     send(record, node, "GET", (path, id), limit)
 }
 
@@ -596,7 +680,13 @@
     send(record, node, "POST", (path, id), limit)
 }
 
-fn send(record: &Record, node: &Node, method: &str, (path, id): (&str, &str), limit: Duration) -> u32 {
+fn send(
+    record: &Record,
+    node: &Node,
+    method: &str,
+    (path, id): (&str, &str),
+    limit: Duration,
+) -> u32 {
     let (zone, millis) = (&node.zone, limit.as_millis());
     record.write(&format!("client in {zone} sends {id} {path}"));
     let head = format!(
@@ -613,13 +703,20 @@
 
 /// Returns a configuration in which requests to shop.example below /read/ go to a service.
 ///
-/// The routes give requests 12 s, as the sheets' slowest kind of request has, 8 s for downloads, and 4 s for orders.
-pub fn configuration(version: u32, service: &str, (kind, attempts): (&str, u32), further_routes: usize) -> String {
+/// The routes give requests 12 s or, as the sheet's slowest kind of request has, 15 s; 8 s for downloads, 4 s for orders.
+pub fn configuration(
+    version: u32,
+    service: &str,
+    (kind, attempts): (&str, u32),
+    further_routes: usize,
+) -> String {
     let (timeout_s, slo_s) = match kind {
         "idempotent" => (12, 6),
         "download" => (8, 2),
+        "status" => (15, 8),
         _ => (4, 2),
     };
+    let kind = if kind == "status" { "idempotent" } else { kind };
     let route = |name: &str, prefix: &str| {
         format!(
             r#"{{"entry_type":"routes","metadata":{{"name":"{name}"}},"spec":{{"host":"shop.example","prefix":"{prefix}","type":"{kind}","timeout_s":{timeout_s},"slo_s":{slo_s},"priority":2,"service":"{service}","attempts":{attempts},"public":true}}}}"#
