--- a/review/harness-2/slow_download.rs
+++ b/review/harness-2/slow_download.rs
@@ -27,11 +27,11 @@
 
 /// The clients' receive buffer, and their largest segment, which is that of an Ethernet link: the loopback interface would
 /// otherwise hold whole answers.
-const WINDOW: i32 = 4_096;
+const WINDOW: i32 = 2_048;
 const SEGMENT: i32 = 1_400;
 
 /// When the downloads start after SIGTERM, in milliseconds: before the platform has asked twice whether the node is ready.
-const STARTS: [u64; 6] = [300, 350, 400, 450, 500, 550];
+const STARTS: [u64; 6] = [500, 550, 600, 650, 700, 750];
 
 const LIMIT: Duration = Duration::from_secs(4);
 
