Log the attempts that a node breaks off when it ends

The last answer of a request said only that its outcome is unknown: whether an attempt ran, for how long, and at which target and node could not be told from the logs of a stop.

--- a/src/proxy/lifecycle.rs
+++ b/src/proxy/lifecycle.rs
@@ -85,6 +85,14 @@
 /// Minimum share of the objective that the first attempt has before it is hedged.
 const HEDGE_MIN_SHARE: f64 = 0.35;
 
+/// An attempt that has not ended.
+struct RunningAttempt {
+    target: Arc<str>,
+    /// The incarnation of its egress node.
+    egress: u64,
+    started: Instant,
+}
+
 /// The target and the outcome of an attempt that has ended.
 type FinishedAttempt = (TargetView, AttemptOutcome);
 
@@ -115,6 +123,8 @@
     remote_tries: u32,
     /// Number of targets that had no free slot although they seemed to.
     busy_tries: u32,
+    /// Attempts that have not ended.
+    running: Vec<RunningAttempt>,
     /// When the running attempt is hedged by a second one.
     hedge_at: Option<Instant>,
     /// Until when a refusal by the target at which the request waits for the longest time that it may is a
@@ -183,6 +193,7 @@
         refusals: 0,
         remote_tries: 0,
         busy_tries: 0,
+        running: Vec::new(),
         hedge_at: None,
         forecast_until: None,
         forecast_refusals: 0,
@@ -235,6 +246,7 @@
         let Some((target, outcome)) = ended else {
             continue;
         };
+        lifecycle.running.retain(|a| a.target != target.id);
         match lifecycle.record_outcome(&target, outcome).await {
             NextStep::Respond(response) => return Some(response),
             // While another attempt runs, the refused one is repeated only at a target with a free slot.
@@ -521,6 +533,11 @@
         self.number += 1;
         self.sent += 1;
         self.excluded.push(Arc::clone(&target.id));
+        self.running.push(RunningAttempt {
+            target: Arc::clone(&target.id),
+            egress: target.vm.incarnation,
+            started: self.context.core.clock.now(),
+        });
         let (context, number) = (self.context, self.number);
         let rank = Rank {
             external: context.rank.external && self.interruption == Interruption::None,
@@ -638,8 +655,20 @@
         }
     }
 
+    /// Logs the attempts of a request that are broken off because this node terminates.
+    fn log_broken_off(&self) {
+        let now = self.context.core.clock.now();
+        let request = self.context.request_id.as_str();
+        for attempt in &self.running {
+            let (target, egress) = (&*attempt.target, attempt.egress);
+            let runs_ms = whole_millis(now.saturating_duration_since(attempt.started));
+            spdlog::warn!("attempt is broken off since the node ends", kv: { request, target, egress, runs_ms });
+        }
+    }
+
     /// Returns the response for a request that is still running when the node terminates.
     fn abort(self) -> Response<Body> {
+        self.log_broken_off();
         match self.sent == 0 && self.unknown.is_none() {
             true => error_response(Code::Stopping, Outcome::NotRun, None),
             false => error_response(Code::AnswerLost, Outcome::Unknown, None),
