Reads that depend on stopping nodes run elsewhere before these end

Callers got 502 for reads at which a target was at work: the egress node of the read was stopped, and its ingress node 0.9 to 5 s later. The read was sent to another target only after its egress node had ended, waited there for a slot, and its ingress node had to give its last answers before one was free.

Cause: an attempt depends on two processes, but only the end of the egress node was acted on, not its announcement, which all nodes have from gossip 6 s earlier. Hedging doesn't help: it tries targets with a free slot only, once.

Now an idempotent request whose attempts all run at nodes that are shutting down, or whose own node is, gets one more attempt once half of the grace period has passed. It waits ahead of other requests, as repeats after the end of an egress node do, and stays within the attempts of its route. Most reads have ended by then and are not moved.

--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -17,7 +17,7 @@
 mod runner;
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, AtomicU64, Ordering::Relaxed},
@@ -134,6 +134,9 @@
     pub centre: String,
 }
 
+/// Since when nodes are known to be shutting down, by incarnation.
+pub type Stops = HashMap<u64, Instant>;
+
 /// The state that all components of a node share.
 pub struct Core {
     /// The address at which other nodes reach this one.
@@ -185,6 +188,8 @@
     listening: AtomicBool,
     rejecting: AtomicBool,
     terminating: watch::Sender<bool>,
+    /// Nodes that are known to be shutting down, this one included.
+    stops: watch::Sender<Stops>,
     /// Requests of callers whose responses the HTTP library has not taken over as a whole.
     requests: OpenCount,
     /// Connections of callers. One ends only after the last byte of its responses has been written.
@@ -284,6 +289,7 @@
             listening: AtomicBool::new(false),
             rejecting: AtomicBool::new(false),
             terminating: watch::Sender::new(false),
+            stops: watch::Sender::default(),
             requests: OpenCount::default(),
             connections: OpenCount::default(),
             links_served: OpenCount::default(),
@@ -469,8 +475,32 @@
         self.quota.observe_nodes(nodes, self.clock.now());
     }
 
+    /// Observes which nodes are shutting down, for requests that depend on them.
+    #[must_use]
+    pub fn watch_stops(&self) -> watch::Receiver<Stops> {
+        self.stops.subscribe()
+    }
+
+    /// Publishes which nodes are shutting down if that has changed.
+    fn publish_stops(&self, board: &Board) {
+        let now = self.clock.now();
+        let leaving = board.vms.values().filter(|vm| vm.alive && vm.leaving);
+        let leaving: HashSet<u64> = leaving.map(|vm| vm.incarnation).collect();
+        self.stops.send_if_modified(|stops| {
+            if stops.len() == leaving.len() && leaving.iter().all(|n| stops.contains_key(n)) {
+                return false;
+            }
+            stops.retain(|node, _| leaving.contains(node));
+            for node in leaving {
+                stops.entry(node).or_insert(now);
+            }
+            true
+        });
+    }
+
     /// Renders a new view of the board and publishes it to the request path.
     fn publish_view(&self, shared: &mut Shared) {
+        self.publish_stops(&shared.board);
         let Shared {
             board,
             index,
--- a/src/policy/shutdown.rs
+++ b/src/policy/shutdown.rs
@@ -2,6 +2,10 @@
 
 use std::time::{Duration, Instant};
 
+/// Fraction of the grace period after which requests that still depend on the node also run elsewhere. Most have ended
+/// by then; the others need the rest to wait for a slot and to run.
+const MOVE_AT: f64 = 0.5;
+
 /// Fraction of the grace period after which requests that still run get a last answer. Deployments
 /// excuse answers in the last sixth of a grace period, which may be that of a later roll-out than the
 /// one that sent the signal. A request that still runs when the node is killed is excused as well.
@@ -22,6 +26,12 @@
 }
 
 impl Shutdown {
+    /// Returns when requests that depend on the node are sent to another one as well.
+    #[must_use]
+    pub fn move_at(&self) -> Instant {
+        self.signalled + self.grace.mul_f64(MOVE_AT)
+    }
+
     /// Returns when requests that still run get a last answer.
     #[must_use]
     pub fn answer_at(&self) -> Instant {
--- a/src/proxy/dispatch.rs
+++ b/src/proxy/dispatch.rs
@@ -52,7 +52,7 @@
             && self.try_spend_retry(context).await
     }
 
-    /// Acquires the right to retry an idempotent request whose egress node ended, and returns whether it was
+    /// Acquires the right to repeat an idempotent request whose node ends or has ended, and returns whether it was
     /// granted. Since the fleet itself caused the interruption, neither the quota nor the retry budget
     /// refuses the retry. It is charged to both, and may make the budget negative.
     pub(super) async fn acquire_interrupted_retry(&self, context: &RequestContext) -> bool {
@@ -61,7 +61,7 @@
         }
         let drawn = self.redraw_quota(context).await;
         let (request, service) = (context.request_id.as_str(), &context.matched.service);
-        spdlog::info!("retrying a request whose egress node ended", kv: { request, drawn });
+        spdlog::info!("repeating a request because a node that it depends on ends", kv: { request, drawn });
         self.retry_budgets
             .try_spend(&context.core, service, Purpose::Forced)
             .await
--- a/src/proxy/lifecycle.rs
+++ b/src/proxy/lifecycle.rs
@@ -2,6 +2,7 @@
 //! them decides the response.
 
 use std::{
+    future::pending,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -9,15 +10,17 @@
 use futures::{StreamExt, future::BoxFuture, stream::FuturesUnordered};
 use http::Response;
 use rand::{Rng, rng};
-use tokio::time::{sleep, timeout};
+use tokio::{sync::watch, time::sleep};
 
 use crate::{
     board::TargetView,
     clock::whole_millis,
     fleet::{Body, box_body},
+    node::Stops,
     policy::{
         placement::{Outlook, looks_further},
         queue::Rank,
+        shutdown::Shutdown,
     },
     proxy::{
         Code, Outcome,
@@ -85,6 +88,12 @@
 /// Minimum share of the objective that the first attempt has before it is hedged.
 const HEDGE_MIN_SHARE: f64 = 0.35;
 
+/// Maximum number of tries to move one request away from nodes that are shutting down.
+const MAX_MOVES: u32 = 8;
+
+/// Pause between two such tries.
+const MOVE_INTERVAL: Duration = Duration::from_millis(200);
+
 /// An attempt that has not ended.
 struct RunningAttempt {
     target: Arc<str>,
@@ -127,6 +136,12 @@
     running: Vec<RunningAttempt>,
     /// When the running attempt is hedged by a second one.
     hedge_at: Option<Instant>,
+    /// How often a further attempt was begun since the running ones depend on nodes that are shutting down.
+    moves: u32,
+    /// Before when no such attempt begins.
+    move_after: Instant,
+    /// Whether such an attempt has been paid for that was refused, or has not begun.
+    move_paid: bool,
     /// Until when a refusal by the target at which the request waits for the longest time that it may is a
     /// forecast, and not the end of that wait; `None` until it waits so.
     forecast_until: Option<Instant>,
@@ -195,6 +210,9 @@
         busy_tries: 0,
         running: Vec::new(),
         hedge_at: None,
+        moves: 0,
+        move_after: context.started,
+        move_paid: false,
         forecast_until: None,
         forecast_refusals: 0,
         local_waited: false,
@@ -221,29 +239,64 @@
     exposures.choose(core, &context.matched.service.name, core.clock.now())
 }
 
+/// The attempts that are driven in parallel.
+type RunningAttempts<'c> = FuturesUnordered<BoxFuture<'c, FinishedAttempt>>;
+
+/// What happens next while attempts run.
+enum Event {
+    Ended(Option<Box<FinishedAttempt>>),
+    HedgeDue,
+    MoveDue,
+    StopsChanged,
+}
+
+/// Waits until an attempt ends, until `due`, or until it has changed which nodes are shutting down.
+async fn next_event(
+    running: &mut RunningAttempts<'_>,
+    due: Option<(Duration, Event)>,
+    stops: &mut watch::Receiver<Stops>,
+) -> Event {
+    let timer = async {
+        match due {
+            Some((left, event)) => {
+                sleep(left).await;
+                event
+            }
+            None => pending().await,
+        }
+    };
+    tokio::select! {
+        biased;
+        ended = running.next() => Event::Ended(ended.map(Box::new)),
+        event = timer => event,
+        Ok(()) = stops.changed() => Event::StopsChanged,
+    }
+}
+
 /// Makes attempts until one decides the response. Returns `None` when no further attempt may be made.
 async fn drive(lifecycle: &mut Lifecycle<'_>) -> Option<Response<Body>> {
     let context = lifecycle.context;
-    let mut running: FuturesUnordered<BoxFuture<'_, FinishedAttempt>> = FuturesUnordered::new();
+    let mut running: RunningAttempts<'_> = FuturesUnordered::new();
+    let mut stops = context.core.watch_stops();
     loop {
         if running.is_empty() {
             let attempt = lifecycle.next_attempt().await?;
             running.push(attempt);
         }
-        let wait = lifecycle
-            .hedge_at
-            .map(|at| at.saturating_duration_since(context.core.clock.now()));
-        let ended = match wait {
-            None => running.next().await,
-            Some(wait) => match timeout(wait, running.next()).await {
-                Ok(ended) => ended,
-                Err(_) => {
-                    running.extend(lifecycle.hedge().await);
-                    continue;
-                }
-            },
+        let due = lifecycle.next_due(&stops.borrow_and_update());
+        let ended = match next_event(&mut running, due, &mut stops).await {
+            Event::Ended(ended) => ended,
+            Event::HedgeDue => {
+                running.extend(lifecycle.hedge().await);
+                continue;
+            }
+            Event::MoveDue => {
+                running.extend(lifecycle.move_on().await);
+                continue;
+            }
+            Event::StopsChanged => continue,
         };
-        let Some((target, outcome)) = ended else {
+        let Some((target, outcome)) = ended.map(|ended| *ended) else {
             continue;
         };
         lifecycle.running.retain(|a| a.target != target.id);
@@ -303,6 +356,65 @@
         self.attempt_free_anywhere()
     }
 
+    /// Returns the next event that time brings, and the time left until then.
+    fn next_due(&self, stops: &Stops) -> Option<(Duration, Event)> {
+        let hedge = self.hedge_at.map(|at| (at, Event::HedgeDue));
+        let moved = self.move_time(stops).map(|at| (at, Event::MoveDue));
+        let (at, event) = hedge.into_iter().chain(moved).min_by_key(|(at, _)| *at)?;
+        let now = self.context.core.clock.now();
+        Some((at.saturating_duration_since(now), event))
+    }
+
+    /// Returns when the request is also sent to another target, since this node or those of all running attempts are
+    /// shutting down. One attempt more is enough.
+    fn move_time(&self, stops: &Stops) -> Option<Instant> {
+        let core = &self.context.core;
+        if !self.context.idempotent || self.moves == MAX_MOVES {
+            return None;
+        }
+        let move_at = |node: u64| {
+            stops.get(&node).map(|signalled| {
+                Shutdown {
+                    signalled: *signalled,
+                    grace: core.settings.grace,
+                }
+                .move_at()
+            })
+        };
+        let egress: Option<Vec<Instant>> = self.running.iter().map(|a| move_at(a.egress)).collect();
+        let egress = egress.and_then(|times| times.into_iter().max());
+        let late = self.context.started + self.context.objective().mul_f64(HEDGE_SHARE);
+        let own = move_at(core.incarnation).filter(|_| self.running.len() == 1);
+        let due = own.map(|at| at.max(late)).into_iter().chain(egress).min()?;
+        Some(due.max(self.move_after))
+    }
+
+    /// Returns an attempt beside those that depend on nodes that are shutting down. It may wait for its slot, ahead of
+    /// other requests: what it waits is lost for the run.
+    async fn move_on(&mut self) -> Option<BoxFuture<'c, FinishedAttempt>> {
+        let ingress = &self.context.core.ingress;
+        self.move_after = self.context.core.clock.now() + MOVE_INTERVAL;
+        self.moves += 1;
+        // An earlier try has paid, and was refused.
+        let paid = self.moves > 1;
+        if !self.may_send_again() || !paid && !ingress.acquire_interrupted_retry(self.context).await
+        {
+            return None;
+        }
+        if self.interruption == Interruption::None {
+            self.interruption = Interruption::Earlier;
+        }
+        self.remote_tries = 0;
+        if let Some(attempt) = self.attempt_free_anywhere() {
+            return Some(attempt);
+        }
+        self.add_untried_targets(true);
+        self.add_untried_targets(false);
+        let target = self.take_least_busy(|t| is_egress_active(self.context, t))?;
+        let body = self.payload.next_body()?;
+        Some(self.start_attempt(target, self.longest_wait(), body))
+    }
+
     /// Returns the next attempt, or `None` if there is no target or no body for one.
     async fn next_attempt(&mut self) -> Option<BoxFuture<'c, FinishedAttempt>> {
         let context = self.context;
@@ -575,6 +687,7 @@
                 return self.record_refusal(target, code, retry_after).await;
             }
         };
+        self.move_paid = false;
         match result {
             Ok(response) if response.status().is_server_error() && self.context.idempotent => {
                 self.target_error = Some(response);
