Interrupted requests may use one slot beyond the limit of a busy target

Cause: the request had been admitted and had held a slot, which the fleet took from it, but it was queued like one that never had one. It may now run as one request beyond the limit of its next target. Pace of cold targets, stated limits and the limit of connections bind it as before.

interrupted_request_gets_one_slot_beyond_limit_of_busy_target; without the extra slot it is refused as busy.

--- a/src/proxy/admission.rs
+++ b/src/proxy/admission.rs
@@ -461,7 +461,8 @@
         {
             return Err(Code::Doubtful);
         }
-        if target.queue.is_empty() && target.has_capacity() && target.is_start_due(now) {
+        let free = target.queue.is_empty() && target.has_capacity();
+        if (free || target.has_extra_slot(request.extra_slots)) && target.is_start_due(now) {
             target.start_request(now);
             return Ok(Placement::Admitted(self.permit(target)));
         }
@@ -635,6 +636,8 @@
     pub repeatable: bool,
     /// Whether the floor of its service keeps the target in use although it is failing.
     pub floor: bool,
+    /// How many slots beyond the limit of the target the request may use, without waiting in the queue.
+    pub extra_slots: usize,
 }
 
 impl AdmissionRequest<'_> {
--- a/src/proxy/egress.rs
+++ b/src/proxy/egress.rs
@@ -50,6 +50,9 @@
 /// the request starts.
 const MAX_RATE_ADMISSIONS: usize = 3;
 
+/// Requests beyond its limit that a target may run, if they have lost a slot elsewhere.
+const EXTRA_SLOTS: usize = 1;
+
 /// Minimum time that must remain until the deadline when a request is started.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(1);
 
@@ -344,6 +347,7 @@
         avoid_suspected: !attempt.idempotent || attempt.repeat || !attempt.rank.external,
         repeatable: attempt.idempotent && !attempt.repeat,
         floor: attempt.floor,
+        extra_slots: extra_slots(attempt),
     };
     let admitted = core.admission.admit(&admission_request, now).await;
     admitted.map_err(|code| {
@@ -353,6 +357,13 @@
     })
 }
 
+/// Returns how many slots beyond the limit of its target an attempt may use. One at an interrupted request has lost a slot
+/// because a node ended; only such a request precedes others although a caller sent it.
+fn extra_slots(attempt: &Attempt) -> usize {
+    let interrupted = attempt.caller.is_some() && !attempt.rank.external;
+    if interrupted { EXTRA_SLOTS } else { 0 }
+}
+
 /// Leases what this node may have to hold of a body from another node, if its memory is bounded. The lease ends with the
 /// body.
 fn lease_body(
--- a/src/proxy/target_state.rs
+++ b/src/proxy/target_state.rs
@@ -317,6 +317,12 @@
         self.running < self.concurrency()
     }
 
+    /// Returns whether a request may run that may use some slots beyond the limit.
+    pub(super) fn has_extra_slot(&self, extra: usize) -> bool {
+        let limit = (self.concurrency() + extra).min(self.limits.connections);
+        extra > 0 && self.running < limit
+    }
+
     /// Returns how many requests may run at once.
     ///
     /// Either its slots or the adaptive limit bound the requests that run at once. Each exchange uses a connection of
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -352,6 +352,24 @@
     }
 }
 
+/// Where long requests occupy all slots, an interrupted one would be lost with its node before one is free.
+#[tokio::test]
+async fn interrupted_request_gets_one_slot_beyond_limit_of_busy_target() {
+    let (clock, admission) = empty_admission();
+    let now = clock.now();
+    assert!(admission.apply_announcement(announcement(5), now));
+    let _permits = [admit(&admission, now).await, admit(&admission, now).await];
+    assert_eq!(admit(&admission, now).await.err(), Some(Code::Busy));
+    let interrupted = AdmissionRequest {
+        extra_slots: 1,
+        ..admission_request(now)
+    };
+    let extra = admission.admit(&interrupted, now).await;
+    assert!(extra.is_ok());
+    let second = admission.admit(&interrupted, now).await;
+    assert_eq!(second.err(), Some(Code::Busy));
+}
+
 /// Requests admission without waiting for a slot.
 async fn admit(admission: &Arc<Admission>, now: Instant) -> Result<Permit, Code> {
     admission.admit(&admission_request(now), now).await
@@ -533,6 +551,7 @@
     let floor_request = |avoid_suspected, deadline| AdmissionRequest {
         avoid_suspected,
         floor: true,
+        extra_slots: 0,
         ..admission_request(deadline)
     };
     let mut trials = 0;
--- a/tests/one_target/mod.rs
+++ b/tests/one_target/mod.rs
@@ -67,6 +67,7 @@
         avoid_suspected: false,
         repeatable: false,
         floor: false,
+        extra_slots: 0,
     }
 }
 
