Log what runs when a stopping node sends its last answers

The log told when a node was signalled and when it had shut down, but not when it stopped waiting for its requests and how many there were. One more line a stop, with the fields of the last one.

--- a/src/node/runner.rs
+++ b/src/node/runner.rs
@@ -152,13 +152,19 @@
     // Without a receiver, no listener is left to shut down.
     let _ = sender.send(true);
     wait_until_done(core, deadlines.answer_at(), Core::is_idle).await;
+    log_progress(core, "node stops waiting for requests");
     core.terminate();
     let is_done = |core: &Core| core.is_idle() && core.links_served.get() == 0;
     wait_until_done(core, deadlines.end_at(), is_done).await;
     // The last responses may still be in transit through the sockets.
     sleep(DRAIN_CHECK_INTERVAL).await;
+    log_progress(core, "node has shut down");
+}
+
+/// Logs a step of the shutdown with what still runs then.
+fn log_progress(core: &Core, step: &str) {
     let (connections, links) = (core.connections.get(), core.links_served.get());
-    spdlog::info!("node has shut down", kv: { under_way = core.active_requests(), connections, links });
+    spdlog::info!("{step}", kv: { under_way = core.active_requests(), connections, links });
 }
 
 /// Waits until a node is done, or until an instant.
