Announce the end of a connection on responses through other nodes, too

Callers that keep their connection to a node that is being stopped saw no `Connection: close` on their responses, and found the connection closed 2.9 s after the signal, when they sent a further request. Requests behind such a response were served, although the node drains connections after the last response because requests behind it count as unread.

Cause: the header was added to responses of HTTP version 1.1. That is the version of the response, not of the caller's connection: a response that came from another node has version 2, and a node that is being stopped gets nearly all its responses from other nodes, since its own target takes no more requests.

Now the version of the request decides, where the connection is served.

`response_through_another_node_announces_the_end_of_its_connection_at_a_planned_stop` sends two orders on one connection after the signal. On the code before, both ran, and the connection stayed open; now the first is answered with the announcement, and the second doesn't run. The other tests of planned_stop and slow_readers pass.

--- a/src/node/listener.rs
+++ b/src/node/listener.rs
@@ -9,7 +9,7 @@
 };
 
 use futures::FutureExt;
-use http::{Request, Response, StatusCode, Version};
+use http::{HeaderValue, Request, Response, StatusCode, Version, header};
 use hyper::{body::Incoming, server::conn::http2, service::service_fn};
 use hyper_util::{
     rt::{TokioExecutor, TokioIo, TokioTimer},
@@ -153,16 +153,22 @@
     let (reset, ending) = (Arc::clone(&cut), Arc::clone(&core));
     let service = service_fn(move |mut request: Request<Incoming>| {
         let (core, disconnect) = (Arc::clone(&core), disconnect.clone());
-        // A connection with several requests isn't reset because of one of them.
-        if request.version() < Version::HTTP_2 {
+        // A connection with several requests at once isn't reset because of one of them, and its responses can't
+        // announce its end.
+        let is_serial = request.version() < Version::HTTP_2;
+        if is_serial {
             request.extensions_mut().insert(Arc::clone(&cut));
         }
         async move {
             let active = core.requests.track();
-            let response = tokio::select! {
+            let mut response = tokio::select! {
                 response = core.ingress.serve(&core, request) => response,
                 () = disconnect.wait() => return Err(io::Error::from(io::ErrorKind::ConnectionAborted)),
             };
+            if is_serial && core.shutting_down() {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(header::CONNECTION, close);
+            }
             Ok::<_, io::Error>(response.map(|body| hold_until_taken(body, active)))
         }
     });
--- a/src/proxy/ingress.rs
+++ b/src/proxy/ingress.rs
@@ -10,7 +10,7 @@
     time::{Duration, Instant},
 };
 
-use http::{HeaderMap, HeaderValue, Request, Response, Version, header};
+use http::{HeaderMap, HeaderValue, Request, Response};
 use hyper::body::Incoming;
 use rand::{Rng, rng};
 use tokio::time::sleep;
@@ -351,10 +351,6 @@
     mut response: Response<Body>,
     started: Instant,
 ) -> Response<Body> {
-    if core.shutting_down() && response.version() == Version::HTTP_11 {
-        let close = HeaderValue::from_static("close");
-        response.headers_mut().insert(header::CONNECTION, close);
-    }
     if let Some(header) = core.header_names.supplied_id()
         && !response.headers().contains_key(header)
         && let Ok(value) = HeaderValue::from_str(request_id)
