Answer requests that wait for room when their node ends

Where memory is bounded, a node leases room for a response before it passes the request on, and a request may wait a quarter of its time for that. A node that was stopped meanwhile ended without an answer to it: its callers found the connection closed at the end of the grace period, 3.3 s after the node had read the whole request.

Cause: only a request that has been accepted notices that the node terminates (`lifecycle::run`). One that still waits for room, quota or the rest of its body does not.

Now acceptance ends as well when the node terminates, with 503 `stopping`. That is true, since nothing has been sent.

`request_that_waits_for_room_is_answered_although_its_node_is_stopped` fills a node's room with responses that are read slowly, stops the node, and sends four reads 2.6 s later.

--- a/src/proxy/ingress.rs
+++ b/src/proxy/ingress.rs
@@ -68,10 +68,13 @@
     pub async fn serve(&self, core: &Arc<Core>, request: Request<Incoming>) -> Response<Body> {
         let started = core.clock.now();
         let request_id = request_id_of(core, request.headers());
-        let (context, payload) = match self
-            .accept(core, request, request_id.clone(), started)
-            .await
-        {
+        let accepted = tokio::select! {
+            accepted = self.accept(core, request, request_id.clone(), started) => accepted,
+            () = core.wait_for_termination() => {
+                Err(Box::new(error_response(Code::Stopping, Outcome::NotRun, None)))
+            }
+        };
+        let (context, payload) = match accepted {
             Ok(accepted) => accepted,
             Err(refusal) => return finish_response(core, None, &request_id, *refusal, started),
         };
