Acknowledge a departure before the node ends

A target that reported its departure to a node that was being stopped got no acknowledgement if the store was away: the connection was closed. Targets without one stay for some seconds, and their acknowledgements count.

Cause: an acknowledgement waits for the store for up to 0.7 s. A node that shuts down waits for the requests of callers only, and with none under way ends 2.95 s after the signal.

Now a departure that waits counts as active, too.

`departure_that_waits_for_the_store_is_acknowledged_although_its_node_is_stopped` withdraws a target 2.6 s after the signal while the store refuses all calls. The other tests of departures pass.

--- a/src/node/departures.rs
+++ b/src/node/departures.rs
@@ -97,6 +97,8 @@
         if !self.wake_keeper() {
             return;
         }
+        // A node that is stopped acknowledges the departure before it ends.
+        let _active = self.requests.track();
         let mut complete = self.kept.complete.subscribe();
         let kept = timeout(KEEP_TIMEOUT, complete.wait_for(|complete| *complete)).await;
         if kept.is_err() {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -185,7 +185,8 @@
     listening: AtomicBool,
     rejecting: AtomicBool,
     terminating: watch::Sender<bool>,
-    /// Requests of callers whose responses the HTTP library has not taken over as a whole.
+    /// Requests of callers whose responses the HTTP library has not taken over as a whole, and departures of targets
+    /// that have not been acknowledged.
     requests: OpenCount,
     /// Connections of callers. One ends only after the last byte of its responses has been written.
     connections: OpenCount,
