Serve the calls of a target that works while its node is stopped

A node that is stopped alone lets its target finish the requests that run there, for up to the grace period of 6 s. But from 2.9 s after the signal the target's own calls found the node closed, and a request whose call fails is failed by the target.

Cause: the node closes its listener and all connections after the time in which callers learn that it is leaving, whether or not its target still works.

Now it keeps them open while requests run at its target. A request that arrives so late is passed on only if it may be a call (an open route), and its deadline is before the node's last responses are due; so none is cut that the node would not have taken before. All others get 503 `stopping`, as on connections that were open before.

--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -19,7 +19,7 @@
 use std::{
     collections::HashMap,
     sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
+        Arc, Mutex, MutexGuard, OnceLock, PoisonError,
         atomic::{AtomicBool, AtomicU64, Ordering::Relaxed},
     },
     time::{Duration, Instant},
@@ -183,7 +183,8 @@
     new_departure: AtomicBool,
     shutting_down: AtomicBool,
     listening: AtomicBool,
-    rejecting: AtomicBool,
+    /// When the node's last responses are due, from when it rejects requests of callers.
+    rejecting: OnceLock<Instant>,
     terminating: watch::Sender<bool>,
     /// Requests of callers whose responses the HTTP library has not taken over as a whole, and departures of targets
     /// that have not been acknowledged.
@@ -283,7 +284,7 @@
             new_departure: AtomicBool::new(false),
             shutting_down: AtomicBool::new(false),
             listening: AtomicBool::new(false),
-            rejecting: AtomicBool::new(false),
+            rejecting: OnceLock::new(),
             terminating: watch::Sender::new(false),
             requests: OpenCount::default(),
             connections: OpenCount::default(),
@@ -351,10 +352,10 @@
         self.gossip_now.notify_one();
     }
 
-    /// Returns whether the node, late in its shutdown, rejects new requests from callers.
+    /// Returns when the node's last responses are due if, late in its shutdown, it rejects new requests from callers.
     #[must_use]
-    pub fn rejects_requests(&self) -> bool {
-        self.rejecting.load(Relaxed)
+    pub fn rejects_requests(&self) -> Option<Instant> {
+        self.rejecting.get().copied()
     }
 
     /// Returns whether the node is terminating, and so answers requests without waiting for their
@@ -375,8 +376,8 @@
         self.terminating.send_replace(true);
     }
 
-    fn reject_requests(&self) {
-        self.rejecting.store(true, Relaxed);
+    fn reject_requests(&self, last_responses: Instant) {
+        self.rejecting.get_or_init(|| last_responses);
     }
 
     /// Returns the flow control windows of connections between nodes.
--- a/src/node/runner.rs
+++ b/src/node/runner.rs
@@ -132,7 +132,7 @@
 }
 
 /// Announces that the node is leaving, releases its slices, stops accepting requests, and waits for
-/// those that still run.
+/// those that still run. While its target works, the node accepts the target's calls.
 async fn shut_down(core: &Arc<Core>, sender: &watch::Sender<bool>) {
     let deadlines = Shutdown {
         signalled: core.clock.now(),
@@ -148,7 +148,10 @@
         }
     };
     sleep(notice).await;
-    core.reject_requests();
+    core.reject_requests(deadlines.answer_at());
+    // The target may have to make calls before it can respond.
+    let is_done = |core: &Core| core.admission.total_load() == 0;
+    wait_until_done(core, deadlines.answer_at(), is_done).await;
     // Without a receiver, no listener is left to shut down.
     let _ = sender.send(true);
     wait_until_done(core, deadlines.answer_at(), Core::is_idle).await;
--- a/src/proxy/ingress.rs
+++ b/src/proxy/ingress.rs
@@ -10,7 +10,7 @@
     time::{Duration, Instant},
 };
 
-use http::{HeaderMap, HeaderValue, Request, Response};
+use http::{HeaderMap, HeaderValue, Request, Response, request::Parts};
 use hyper::body::Incoming;
 use rand::{Rng, rng};
 use tokio::time::sleep;
@@ -97,11 +97,14 @@
         started: Instant,
     ) -> Result<(RequestContext, Payload), Box<Response<Body>>> {
         let refusal = |code| Box::new(error_response(code, Outcome::NotRun, None));
-        if core.rejects_requests() {
-            return Err(refusal(Code::Stopping));
-        }
         let (parts, body) = request.into_parts();
         let host = requested_host(&parts).unwrap_or_default();
+        let left = core
+            .rejects_requests()
+            .map(|until| until.saturating_duration_since(started));
+        if left.is_some_and(|left| !is_call_within(core, &host, &parts, left)) {
+            return Err(refusal(Code::Stopping));
+        }
         let cut = parts.extensions.get::<Cut>().cloned().unwrap_or_default();
         let intake = match &core.buffers {
             Some(buffers) => Intake::Unread(UnreadBody::new(body), buffers),
@@ -109,13 +112,8 @@
         };
         let authorise = || authorise(core, &host, parts.uri.path(), &parts.headers);
         let (matched, caller) = authorise().map_err(refusal)?;
-        let max_timeout = matched.timeout();
         let requested = client_timeout(&core.header_names, &parts.headers);
-        let allowed = match requested {
-            Ok(Some(timeout)) => timeout.min(max_timeout),
-            _ => max_timeout,
-        };
-        let deadline = started + allowed;
+        let deadline = started + allowed_time(&matched, requested);
         let organisation = caller.as_ref().map_or("", |(o, _)| o.name.as_str());
         let no_room = |retry_after: Duration| {
             spdlog::info!("request refused: no room for its body or response", kv: { request = request_id.as_str(), organisation, retry_ms = whole_millis(retry_after) });
@@ -180,6 +178,26 @@
     }
 }
 
+/// Returns whether a request may be a call of a target, and is over in the time that is left.
+fn is_call_within(core: &Core, host: &str, parts: &Parts, left: Duration) -> bool {
+    let matched = core
+        .view
+        .load()
+        .index
+        .route(host, parts.uri.path(), &mut rng());
+    let requested = client_timeout(&core.header_names, &parts.headers);
+    matched.is_some_and(|m| m.access() == Access::Open && allowed_time(&m, requested) <= left)
+}
+
+/// Returns how long a request may take whose caller requested this timeout.
+fn allowed_time(matched: &RouteMatch, requested: Result<Option<Duration>, Code>) -> Duration {
+    let longest = matched.timeout();
+    match requested {
+        Ok(Some(timeout)) => timeout.min(longest),
+        _ => longest,
+    }
+}
+
 /// The body of a request that is being accepted.
 enum Intake<'c> {
     /// The body was read before the checks, since nothing bounds the bytes that the node holds.
