Moves away from stopping nodes are charged to the retry budget

Moves after the first one of a request were free, whatever had come of it: a request whose first move ran and failed, or was refused by its target, could reach further targets against a budget that had refused it. A move is now paid for unless the last one that was paid for has not reached a target.

--- a/src/proxy/lifecycle.rs
+++ b/src/proxy/lifecycle.rs
@@ -395,12 +395,13 @@
         let ingress = &self.context.core.ingress;
         self.move_after = self.context.core.clock.now() + MOVE_INTERVAL;
         self.moves += 1;
-        // An earlier try has paid, and was refused.
-        let paid = self.moves > 1;
-        if !self.may_send_again() || !paid && !ingress.acquire_interrupted_retry(self.context).await
-        {
+        if !self.may_send_again() {
+            return None;
+        }
+        if !self.move_paid && !ingress.acquire_interrupted_retry(self.context).await {
             return None;
         }
+        self.move_paid = true;
         if self.interruption == Interruption::None {
             self.interruption = Interruption::Earlier;
         }
@@ -725,6 +726,7 @@
         }
         match code {
             Code::TargetRefused => {
+                self.move_paid = false;
                 // The request has not run at this target, so the target doesn't count towards the limit.
                 self.sent -= 1;
                 let allowed = context.core.ingress.acquire_other_target(context).await;
